--- /dev/null
+++ b/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin implements the administration API.
+package admin
--- /dev/null
+++ b/claims/doc.go
@@ -0,0 +1,2 @@
+// Package claims records idempotency keys before dispatch.
+package claims
--- /dev/null
+++ b/control/doc.go
@@ -0,0 +1,2 @@
+// Package control runs the control loop of an entry process.
+package control
--- /dev/null
+++ b/eventlog/doc.go
@@ -0,0 +1,2 @@
+// Package eventlog writes numbered log events and keeps the timeline.
+package eventlog
--- /dev/null
+++ b/fleet/vm.go
@@ -0,0 +1,79 @@
+package fleet
+
+// Phase is the recorded step of a VM's move.
+type Phase string
+
+// Phases of a move, in order. A VM accepts requests only while serving.
+const (
+	PhaseServing  Phase = "serving"
+	PhaseDraining Phase = "draining"
+	PhaseDrained  Phase = "drained"
+	PhaseMoved    Phase = "moved"
+	PhaseRebooted Phase = "rebooted"
+	PhaseProbed   Phase = "probed"
+)
+
+// VM is a worker VM as recorded in its row of the table service, joined with
+// the platform's VM list.
+type VM struct {
+	ID      VMID   `json:"id"`
+	Address string `json:"address"` // IP:port of the backend server.
+	Rack    RackID `json:"rack"`
+	Zone    ZoneID `json:"zone"`
+
+	// Slots is the number of requests the backend server runs at once.
+	Slots int `json:"slots"`
+	// Connections is the number of connections the backend server accepts.
+	Connections int `json:"connections"`
+
+	Pool PoolID `json:"pool"`
+	// Generation increases by one each time the VM changes pool.
+	Generation uint64 `json:"generation"`
+	Phase      Phase  `json:"phase"`
+	// Plan is the plan that owns the VM while it is not serving.
+	Plan PlanID `json:"plan,omitempty"`
+	// Operation identifies the reboot in progress, so that repeating it is safe.
+	Operation string `json:"operation,omitempty"`
+
+	// Version is the row's version in the table service. It is not stored in the row.
+	Version uint64 `json:"-"`
+	// Leaving reports that the platform's VM list or a peer has announced that
+	// the backend server is leaving. It is not stored in the row.
+	Leaving bool `json:"-"`
+}
+
+// Routable reports whether new requests may be sent to the VM.
+func (v VM) Routable() bool { return v.Phase == PhaseServing && !v.Leaving }
+
+// Pool is a named set of VMs.
+type Pool struct {
+	ID      PoolID `json:"id"`
+	Version uint64 `json:"-"`
+}
+
+// Member is an entry process as named in the members row.
+type Member struct {
+	ID           MemberID `json:"id"`
+	Zone         ZoneID   `json:"zone"`
+	PeerAddress  string   `json:"peer_address"`
+	AdminAddress string   `json:"admin_address"`
+	// Incarnation increases each time the process joins.
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// MemberView is the members row: the live entry processes of a site.
+type MemberView struct {
+	// Version increases by one with each change of the view.
+	Version uint64   `json:"version"`
+	Members []Member `json:"members"` // Sorted by ID.
+}
+
+// Snapshot is an immutable view of the fleet. Holders must not modify it.
+type Snapshot struct {
+	// Revision is the revision of the table service that the snapshot reflects.
+	Revision uint64
+	VMs      map[VMID]VM
+	Pools    map[PoolID]Pool
+	Plans    map[PlanID]Plan
+	Intents  map[IntentID]Intent
+}
--- /dev/null
+++ b/gateway/doc.go
@@ -0,0 +1,2 @@
+// Package gateway serves callers' HTTP requests.
+package gateway
--- /dev/null
+++ b/limits/doc.go
@@ -0,0 +1,2 @@
+// Package limits groups the limits on traffic: slots, admission and retries.
+package limits
--- /dev/null
+++ b/membership/doc.go
@@ -0,0 +1,2 @@
+// Package membership computes the view of live entry processes.
+package membership
--- /dev/null
+++ b/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries messages between entry processes.
+package peer
--- /dev/null
+++ b/routing/dispatch.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"peridotcrank.dev/fleet"
+)
+
+// Request describes one attempt to send a caller's request to a backend server.
+type Request struct {
+	Service  fleet.ServiceName
+	Pool     fleet.PoolID
+	Customer fleet.CustomerID
+	// Urgency orders requests of one pool; a higher one is served first.
+	Urgency int
+	// Deadline is the time by which the answer must have arrived.
+	Deadline time.Time
+	// MaxQueue bounds the requests of the service that wait in this process.
+	MaxQueue int
+	// Avoid holds the targets of earlier attempts; another failure domain is preferred.
+	Avoid []Target
+}
+
+// Target is one slot of a backend server.
+type Target struct {
+	VM         fleet.VMID
+	Generation uint64
+	Address    string // IP:port.
+	Rack       fleet.RackID
+	Zone       fleet.ZoneID
+	Slot       int
+}
+
+// Result is how an attempt ended.
+type Result uint8
+
+// Results of an attempt.
+const (
+	ResultNotWritten  Result = iota // No byte was written: refused, unreachable or not sent.
+	ResultBroken                    // A byte was written and no complete answer arrived.
+	ResultServerError               // A complete answer with status 5xx.
+	ResultAnswered                  // A complete answer with another status.
+)
+
+// Reservation holds a slot of a backend server until Done is called.
+type Reservation interface {
+	Target() Target
+	// Valid reports whether the target may still be sent a request. It is
+	// called immediately before the first byte is written.
+	Valid() bool
+	// Done releases the slot. Only the first call has an effect.
+	Done(Result)
+}
+
+// Dispatcher admits requests and reserves slots.
+type Dispatcher interface {
+	// Acquire waits until the request is admitted and a slot is free. The
+	// error is a *ShedError when the request was shed.
+	Acquire(ctx context.Context, r Request) (Reservation, error)
+}
+
+// ShedReason says why a request was shed.
+type ShedReason string
+
+// Reasons for shedding a request.
+const (
+	ShedQueueFull   ShedReason = "queue-full"
+	ShedDeadline    ShedReason = "deadline-cannot-be-met"
+	ShedViewExpired ShedReason = "fleet-view-expired"
+	ShedNoTarget    ShedReason = "no-backend-server"
+	ShedStopping    ShedReason = "stopping"
+)
+
+// ShedError reports that a request was refused before it was sent.
+type ShedError struct {
+	Step   string // Step of the request path, for example "admission".
+	Pool   fleet.PoolID
+	Reason ShedReason
+	// RetryAfter is the time after which the caller may try again.
+	RetryAfter time.Duration
+}
+
+func (e *ShedError) Error() string {
+	return fmt.Sprintf("%s: pool %s: request shed: %s, retry after %s", e.Step, e.Pool, e.Reason, e.RetryAfter)
+}
--- /dev/null
+++ b/routing/doc.go
@@ -0,0 +1,2 @@
+// Package routing selects backend servers.
+package routing
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and validates YAML settings.
+package settings
--- /dev/null
+++ b/store/doc.go
@@ -0,0 +1,2 @@
+// Package store is the client of the platform's table service.
+package store
