Add the backend stand-in, the load tool and the comparison of both

The load is open-loop; the comparison checks at-most-once, not-run, own answers and one pool per VM from the backend servers' own records. No run against an entry process yet.

--- /dev/null
+++ b/testbed/load/run.go
@@ -0,0 +1,129 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"peridotcrank.dev/testbed/site"
+)
+
+// Options configures a run.
+type Options struct {
+	Site        site.Site
+	Entries     []string // Addresses of the entry processes for callers.
+	ServiceTime time.Duration
+	// Surge is the length of each surge; 0 gives the mean load for Length.
+	Surge  time.Duration
+	Length time.Duration
+	// Scale multiplies all rates. Default 1.
+	Scale float64
+	// OrderShare is the share of non-idempotent requests. Default 0.5.
+	OrderShare float64
+	// Resubmissions is how often a caller sends the same key again after an unknown outcome. Default 2.
+	Resubmissions int
+	Seed          uint64
+}
+
+const (
+	callerTimeout     = 4 * time.Second
+	idleConnections   = 512
+	resubmissionDelay = 100 * time.Millisecond
+	customers         = 40
+)
+
+// Run sends the load and returns what callers saw.
+func Run(ctx context.Context, o Options) *Report {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	b := newBalancer(o.Entries)
+	b.probeAll(ctx)
+	go b.run(ctx)
+
+	rng := rand.New(rand.NewPCG(o.Seed, 2))
+	var services []string
+	for _, service := range o.Site.Services() {
+		services = append(services, string(service.Name))
+	}
+	phases := surges(o.Site, o.ServiceTime, o.Surge, o.Scale)
+	if o.Surge == 0 {
+		phases = steady(o.Site, o.ServiceTime, o.Length, o.Scale)
+	}
+	r := &runner{options: o, balancer: b, report: newReport(o, services), client: &http.Client{
+		Timeout:   callerTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, MaxIdleConns: 0},
+	}}
+	r.play(ctx, draw(phases, services, rng), rng)
+	return r.report
+}
+
+type runner struct {
+	options  Options
+	balancer *balancer
+	client   *http.Client
+	report   *Report
+	wait     sync.WaitGroup
+}
+
+func (r *runner) play(ctx context.Context, arrivals []arrival, rng *rand.Rand) {
+	start := time.Now()
+	for i, a := range arrivals {
+		if d := time.Until(start.Add(a.at)); d > 0 {
+			time.Sleep(d)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		s := submission{
+			service:  a.service,
+			customer: fmt.Sprintf("customer-%02d", rng.IntN(customers)),
+			request:  fmt.Sprintf("%d-%d", r.options.Seed, i),
+			post:     rng.Float64() < r.options.OrderShare,
+		}
+		if s.post {
+			s.key = "order-" + s.request
+		}
+		r.wait.Add(1)
+		go func() {
+			defer r.wait.Done()
+			r.call(ctx, s, start.Add(a.at))
+		}()
+	}
+	r.wait.Wait()
+}
+
+// call sends a request and, as long as its outcome is in doubt, sends the same
+// key again through another entry process.
+func (r *runner) call(ctx context.Context, s submission, intended time.Time) {
+	record := Record{Service: s.service, Key: s.key, Request: s.request, Intended: intended.UnixMicro()}
+	entry := ""
+	for attempt := 0; ; attempt++ {
+		entry = r.balancer.pick(entry)
+		sent := s
+		sent.request = fmt.Sprintf("%s-%d", s.request, attempt)
+		outcome := sent.send(ctx, r.client, entry)
+		record.Outcomes = append(record.Outcomes, outcome)
+		inDoubt := outcome == Unknown || outcome == Broken || outcome == NotSent
+		if !inDoubt || attempt >= r.options.Resubmissions || (s.post && s.key == "") {
+			break
+		}
+		time.Sleep(resubmissionDelay)
+	}
+	record.Latency = time.Since(intended)
+	r.report.add(record)
+}
+
+// transportOutcome tells a refused connection from one that broke later.
+func transportOutcome(err error) Outcome {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" && errors.Is(err, syscall.ECONNREFUSED) {
+		return NotSent
+	}
+	return Broken
+}
--- a/testbed/main.go
+++ b/testbed/main.go
@@ -1,4 +1,35 @@
-// Command testbed holds the stand-ins and the load tool for tests.
+// Command testbed holds the stand-ins and the load tool for tests. It is never shipped.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// exitBroken is the exit code when a guarantee was broken.
+const exitBroken = 1
+
+func main() {
+	parser := flags.NewNamedParser("testbed", flags.HelpFlag|flags.PassDoubleDash)
+	add := func(name, short string, command any) {
+		if _, err := parser.AddCommand(name, short, short, command); err != nil {
+			fmt.Fprintln(os.Stderr, "testbed:", err)
+			os.Exit(2)
+		}
+	}
+	add("backend", "Run the backend servers of a site's VMs", &backendCommand{})
+	add("load", "Send a site's load to entry processes", &loadCommand{})
+	add("verify", "Compare what callers saw with what backend servers ran", &verifyCommand{})
+	if _, err := parser.Parse(); err != nil {
+		var flagsError *flags.Error
+		if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+			fmt.Println(err)
+			return
+		}
+		fmt.Fprintln(os.Stderr, "testbed:", err)
+		os.Exit(exitBroken)
+	}
+}
--- /dev/null
+++ b/testbed/site/site.go
@@ -0,0 +1,114 @@
+// Package site describes the two sites of today: their pools, workers, racks
+// and availability zones, and the load of their services.
+package site
+
+import (
+	"fmt"
+	"time"
+
+	"peridotcrank.dev/fleet"
+)
+
+// Sizes of a worker and of a rack.
+const (
+	SlotsPerWorker       = 8
+	ConnectionsPerWorker = 64
+	WorkersPerRack       = 4
+)
+
+// Ratios of the load of a service: a surge is five times the mean, and the
+// load between surges is a twentieth of the surge.
+const (
+	SurgeToMean  = 5
+	SurgeToQuiet = 20
+)
+
+// SurgeToCapacity is the load of a surge as a multiple of what the pool of the service holds.
+const SurgeToCapacity = 1.25
+
+// Pool is a pool of a site.
+type Pool struct {
+	ID      fleet.PoolID
+	Workers int
+}
+
+// Site is a site with its pools.
+type Site struct {
+	Name  string
+	Zones []fleet.ZoneID
+	Pools []Pool
+	// Spare is the pool that holds no load of its own.
+	Spare fleet.PoolID
+}
+
+// Sites holds the sites by name.
+var Sites = map[string]Site{
+	"quokka": {
+		Name:  "quokka",
+		Zones: []fleet.ZoneID{"wa-south-a", "wa-south-b", "wa-south-c"},
+		Pools: []Pool{{"counterdesk", 9}, {"stockroom", 9}, {"webshop", 11}, {"stalltill", 12}, {"backoffice", 8}},
+		Spare: "backoffice",
+	},
+	"castwork": {
+		Name:  "castwork",
+		Zones: []fleet.ZoneID{"jm-south-a", "jm-south-b", "jm-south-c"},
+		Pools: []Pool{{"pricing", 9}, {"pourplan", 9}, {"stores", 11}, {"dispatch", 12}, {"backoffice", 8}},
+		Spare: "backoffice",
+	},
+}
+
+// ByName returns a site.
+func ByName(name string) (Site, error) {
+	s, ok := Sites[name]
+	if !ok {
+		return Site{}, fmt.Errorf("unknown site %q: use quokka or castwork", name)
+	}
+	return s, nil
+}
+
+// VMs returns the workers of the site. Workers of one pool alternate between
+// availability zones; each listens on 127.0.0.1 from basePort on.
+func (s Site) VMs(basePort int) []fleet.VM {
+	var vms []fleet.VM
+	inZone := make(map[fleet.ZoneID]int)
+	for _, pool := range s.Pools {
+		for range pool.Workers {
+			zone := s.Zones[len(vms)%len(s.Zones)]
+			rack := fleet.RackID(fmt.Sprintf("%s-r%02d", zone, inZone[zone]/WorkersPerRack+1))
+			inZone[zone]++
+			vms = append(vms, fleet.VM{
+				ID:         fleet.VMID(fmt.Sprintf("vm-%03d", len(vms)+1)),
+				Address:    fmt.Sprintf("127.0.0.1:%d", basePort+len(vms)),
+				Rack:       rack,
+				Zone:       zone,
+				Slots:      SlotsPerWorker,
+				Pool:       pool.ID,
+				Generation: 1,
+				Phase:      fleet.PhaseServing,
+
+				Connections: ConnectionsPerWorker,
+			})
+		}
+	}
+	return vms
+}
+
+// Services returns the services of the site, one for each pool but the spare one.
+func (s Site) Services() []fleet.Service {
+	var services []fleet.Service
+	for _, pool := range s.Pools {
+		if pool.ID == s.Spare {
+			continue
+		}
+		services = append(services, fleet.Service{
+			Name: fleet.ServiceName(pool.ID), PathPrefix: "/" + string(pool.ID) + "/", Pool: pool.ID,
+			Timeout: 2 * time.Second, MaxBodyBytes: 1 << 20, MaxQueue: 256, AvailabilityTarget: 0.999,
+		})
+	}
+	return services
+}
+
+// CapacityRate returns the requests a second that a pool holds at a service time.
+func (p Pool) CapacityRate(serviceTime time.Duration) float64 {
+	return float64(p.Workers*SlotsPerWorker) / serviceTime.Seconds()
+}
