--- /dev/null
+++ b/exchange/hopbyhop.go
@@ -0,0 +1,27 @@
+package exchange
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopByHop lists the header fields that apply to one connection only (RFC 9110,
+// section 7.6.1), in canonical form.
+var hopByHop = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// removeHopByHop removes the fields named by Connection and those of hopByHop.
+func removeHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
--- /dev/null
+++ b/limits/retry/budget_test.go
@@ -0,0 +1,107 @@
+package retry
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// Guards against retries above the ratio: however requests and retries are
+// spread, each retry that is granted keeps the retries of the window within
+// the ratio of its requests.
+func TestRetriesStayWithinTheRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &clock{now: time.Unix(1_000_000, 0)}
+		b, err := New(Options{Now: c.Now})
+		assert.NilError(t, err)
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			c.now = c.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 20).Draw(t, "requests") {
+				b.Deposit()
+				requests = append(requests, c.now)
+			}
+			if !b.TryWithdraw() {
+				continue
+			}
+			retries = append(retries, c.now)
+			// The budget forgets up to one bucket early.
+			certain := since(retries, c.now.Add(-DefaultWindow*(buckets-1)/buckets))
+			assert.Assert(t, 10*certain <= since(requests, c.now.Add(-DefaultWindow)))
+		}
+	})
+}
+
+func since(times []time.Time, from time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a budget that never grants, or that does not recover when
+// the window has passed.
+func TestGrantsTheRatioAndRecovers(t *testing.T) {
+	c := &clock{now: time.Unix(0, 0)}
+	b, err := New(Options{Now: c.Now, Minimum: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, b.TryWithdraw())
+	assert.Assert(t, !b.TryWithdraw())
+	for range 2 {
+		c.now = c.now.Add(DefaultWindow + time.Second)
+		for range 100 {
+			b.Deposit()
+		}
+		granted := 0
+		for range 100 {
+			if b.TryWithdraw() {
+				granted++
+			}
+		}
+		assert.Equal(t, granted, 10)
+	}
+}
+
+// Guards against lost updates under concurrent use.
+func TestConcurrentUseGrantsExactly(t *testing.T) {
+	c := &clock{now: time.Unix(0, 0)}
+	b, err := New(Options{Now: c.Now, Ratio: 0.5})
+	assert.NilError(t, err)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	granted := 0
+	for range 8 {
+		wg.Go(func() {
+			for range 1000 {
+				b.Deposit()
+				if b.TryWithdraw() {
+					mu.Lock()
+					granted++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for b.TryWithdraw() {
+		granted++
+	}
+	assert.Equal(t, granted, 4000)
+}
+
+func TestInvalidOptionsAreRefused(t *testing.T) {
+	for _, o := range []Options{{Ratio: -1}, {Ratio: 2}, {Window: -time.Second}, {Minimum: -1}} {
+		_, err := New(o)
+		assert.ErrorContains(t, err, "retry options")
+	}
+}
