Add the gateway with its request path and server

The handler takes a request through matching, body buffering, claim, admission, slot, exchange and answer, and sets Peridotcrank-Outcome on every response.

The claim precedes admission, so that an owner of keys that does not reply never holds a backend server slot. The exchange of a non-idempotent request outlives the caller's connection: cancelling it would not undo it.

A test runs the counting backend server against httputil.ReverseProxy and shows that the replay of keyed requests, which the gateway avoids, happens there.

--- /dev/null
+++ b/gateway/answer.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"peridotcrank.dev/exchange"
+	"peridotcrank.dev/routing"
+)
+
+const (
+	// streamChunkBytes is the size of the two buffers of a streamed answer.
+	streamChunkBytes = 32 << 10
+	// smallAnswerBytes is the size up to which an answer is expected to fit into
+	// the send buffer of a connection, so that no slow reader can delay it.
+	smallAnswerBytes = 32 << 10
+)
+
+var errNoChunks = errors.New("a streamed answer of undeclared length cannot be sent over HTTP/1.0")
+
+// answer passes the response of a backend server on to the caller.
+func (c *call) answer(resp *exchange.Response) *refusal {
+	if resp.Rest != nil {
+		return c.stream(resp)
+	}
+	h := c.answerHeader(resp)
+	if c.r.Method != http.MethodHead && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified {
+		h["Content-Length"] = []string{strconv.Itoa(len(resp.Body))}
+	}
+	if len(resp.Body) > smallAnswerBytes {
+		c.writeLarge(resp)
+		return nil
+	}
+	c.w.WriteHeader(resp.Status)
+	_, c.err = c.w.Write(resp.Body)
+	return nil
+}
+
+func (c *call) answerHeader(resp *exchange.Response) http.Header {
+	h := c.w.Header()
+	maps.Copy(h, resp.Header)
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // Keeps net/http from guessing one.
+	}
+	h[HeaderOutcome] = []string{string(OutcomeAnswered)}
+	c.status, c.outcome = resp.Status, OutcomeAnswered
+	return h
+}
+
+// writeLarge writes a buffered answer that a slow reader may delay.
+func (c *call) writeLarge(resp *exchange.Response) {
+	size := int64(len(resp.Body))
+	c.g.buffered.add(size)
+	defer c.g.buffered.remove(size)
+	control := http.NewResponseController(c.w)
+	_ = control.SetWriteDeadline(time.Now().Add(c.g.options.SlowReaderLimit)) // Unsupported only by test recorders.
+	c.w.WriteHeader(resp.Status)
+	if _, c.err = c.w.Write(resp.Body); c.err == nil {
+		c.err = control.Flush()
+	}
+	if c.err == nil {
+		_ = control.SetWriteDeadline(time.Time{})
+	}
+}
+
+// stream passes on a response that exceeds the buffer. A failure aborts the
+// connection to the caller, so that the answer never looks complete.
+func (c *call) stream(resp *exchange.Response) *refusal {
+	defer resp.Rest.Close()
+	if !c.r.ProtoAtLeast(1, 1) && resp.Header.Get("Content-Length") == "" {
+		return unknown(http.StatusBadGateway, errNoChunks.Error(), errNoChunks)
+	}
+	c.answerHeader(resp)
+	control := http.NewResponseController(c.w)
+	_ = control.SetWriteDeadline(c.deadline) // Unsupported only by test recorders.
+	c.w.WriteHeader(resp.Status)
+	if c.err = c.copyBody(resp); c.err == nil {
+		c.endAttempt(resultOf(resp.Status))
+		c.err = control.Flush()
+		_ = control.SetWriteDeadline(time.Time{})
+		return nil
+	}
+	c.endAttempt(routing.ResultBroken)
+	c.aborted = true
+	panic(http.ErrAbortHandler)
+}
+
+var chunkPool = sync.Pool{New: func() any { return new([2][streamChunkBytes]byte) }}
+
+// copyBody writes the body with a delay of one chunk: the last chunk of a
+// declared length would make the answer look complete, so it is written only
+// after the end of the response was confirmed.
+func (c *call) copyBody(resp *exchange.Response) error {
+	chunks := chunkPool.Get().(*[2][streamChunkBytes]byte)
+	defer chunkPool.Put(chunks)
+	held, next := resp.Body, 0
+	for {
+		n, err := resp.Rest.Read(chunks[next][:])
+		if err != nil && err != io.EOF {
+			return err
+		}
+		if _, werr := c.w.Write(held); werr != nil {
+			return werr
+		}
+		held, next = chunks[next][:n], 1-next
+		if err == io.EOF {
+			_, werr := c.w.Write(held)
+			return werr
+		}
+	}
+}
--- /dev/null
+++ b/gateway/backend_test.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/claims"
+	"peridotcrank.dev/exchange"
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/limits/retry"
+	"peridotcrank.dev/routing"
+)
+
+// fault is what a backend server does with a request.
+type fault string
+
+const (
+	answers           fault = "answers"
+	closesUnread      fault = "closes before reading"
+	closesAfterHeader fault = "closes after the header"
+	closesAfterBody   fault = "closes after the body"
+	closesMidAnswer   fault = "closes half-way through the answer"
+	answersOverlong   fault = "answers more than declared"
+	closesWhenIdle    fault = "closes after the answer without saying so"
+	streamsTruncated  fault = "closes half-way through a long answer"
+	streamsOverlong   fault = "sends a long answer longer than declared"
+	answersLate       fault = "answers when released"
+)
+
+const longAnswerBytes = 1 << 20
+
+// backend is a raw TCP server that counts the requests whose header arrived.
+type backend struct {
+	net.Listener
+	release chan struct{} // Lets answersLate go on.
+	closed  chan struct{} // Receives a value for each connection closed by closesWhenIdle.
+
+	mu       sync.Mutex
+	next     fault
+	arrivals map[string]int // By target.
+	header   http.Header    // Of the last request.
+}
+
+func newBackend(t testing.TB) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	b := &backend{Listener: l, next: answers, arrivals: map[string]int{}, release: make(chan struct{}), closed: make(chan struct{}, 1)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(nc)
+		}
+	}()
+	return b
+}
+
+func (b *backend) set(f fault) { b.mu.Lock(); b.next = f; b.mu.Unlock() }
+
+func (b *backend) fault() fault { b.mu.Lock(); defer b.mu.Unlock(); return b.next }
+
+func (b *backend) count(target string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.arrivals[target]
+}
+
+func (b *backend) serve(nc net.Conn) {
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	for {
+		if _, err := br.Peek(1); err != nil || b.fault() == closesUnread {
+			return
+		}
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.arrivals[r.RequestURI]++
+		b.header = r.Header
+		b.mu.Unlock()
+		if b.fault() == closesAfterHeader {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		if !b.answer(nc, r, body) {
+			return
+		}
+	}
+}
+
+// answer reports whether the connection stays open.
+func (b *backend) answer(nc net.Conn, r *http.Request, body []byte) bool {
+	echo := r.RequestURI + " " + string(body)
+	head := "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+	switch b.fault() {
+	case closesAfterBody:
+		return false
+	case closesMidAnswer:
+		fmt.Fprintf(nc, head, len(echo)+10, echo)
+		return false
+	case answersOverlong:
+		fmt.Fprintf(nc, head, len(echo)-1, echo)
+		return true
+	case closesWhenIdle:
+		fmt.Fprintf(nc, head, len(echo), echo)
+		nc.Close()
+		b.closed <- struct{}{}
+		return false
+	case streamsTruncated:
+		fmt.Fprintf(nc, head, longAnswerBytes, make([]byte, longAnswerBytes/2))
+		return false
+	case streamsOverlong:
+		fmt.Fprintf(nc, head, longAnswerBytes, make([]byte, longAnswerBytes+1))
+		return true
+	case answersLate:
+		<-b.release
+	}
+	fmt.Fprintf(nc, "HTTP/1.1 103 Early Hints\r\n\r\n"+head, len(echo), echo)
+	return true
+}
+
+// dispatcher is a routing.Dispatcher that prefers the first target outside the
+// racks to avoid.
+type dispatcher struct {
+	targets []routing.Target
+	invalid func() bool
+
+	mu       sync.Mutex
+	results  []routing.Result
+	requests []routing.Request
+}
+
+func (d *dispatcher) Acquire(ctx context.Context, r routing.Request) (routing.Reservation, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.requests = append(d.requests, r)
+	if len(d.targets) == 0 {
+		return nil, &routing.ShedError{Step: "admission", Reason: routing.ShedQueueFull, RetryAfter: 1500 * time.Millisecond}
+	}
+	for _, t := range d.targets {
+		avoided := false
+		for _, a := range r.Avoid {
+			avoided = avoided || a.Rack == t.Rack
+		}
+		if !avoided {
+			return &reservation{d: d, target: t}, nil
+		}
+	}
+	return &reservation{d: d, target: d.targets[0]}, nil
+}
+
+type reservation struct {
+	d      *dispatcher
+	target routing.Target
+	once   sync.Once
+}
+
+func (r *reservation) Target() routing.Target { return r.target }
+func (r *reservation) Valid() bool            { return r.d.invalid == nil || !r.d.invalid() }
+func (r *reservation) Done(result routing.Result) {
+	r.once.Do(func() {
+		r.d.mu.Lock()
+		defer r.d.mu.Unlock()
+		r.d.results = append(r.d.results, result)
+	})
+}
+
+// registry is a claims.Registry in memory.
+type registry struct {
+	verdict *claims.Verdict // Given instead of the true one.
+	seen    sync.Map
+}
+
+func (g *registry) Claim(_ context.Context, k claims.Key) (claims.Verdict, error) {
+	if g.verdict != nil {
+		return *g.verdict, nil
+	}
+	if _, seen := g.seen.LoadOrStore(k, true); seen {
+		return claims.VerdictSeen, nil
+	}
+	return claims.VerdictFresh, nil
+}
+
+func (g *registry) Release(_ context.Context, k claims.Key) { g.seen.Delete(k) }
+
+// site is a gateway with its surroundings.
+type site struct {
+	*Gateway
+	dispatcher *dispatcher
+	registry   *registry
+	config     fleet.Configuration
+	url        string
+}
+
+func (s *site) Configuration() *fleet.Configuration { return &s.config }
+
+// newSite starts a server in front of backend servers in racks of their own.
+func newSite(t testing.TB, change func(*Options), backends ...*backend) *site {
+	s := &site{dispatcher: &dispatcher{}, registry: &registry{}}
+	s.config.Services = []fleet.Service{
+		{Name: "orders", PathPrefix: "/", Pool: "webshop", Timeout: 5 * time.Second},
+		{Name: "short", PathPrefix: "/short", Pool: "webshop", Timeout: 50 * time.Millisecond, MaxBodyBytes: 10},
+	}
+	for i, b := range backends {
+		s.dispatcher.targets = append(s.dispatcher.targets, routing.Target{
+			VM: fleet.VMID(fmt.Sprint("vm", i)), Generation: 1, Address: b.Addr().String(), Rack: fleet.RackID(fmt.Sprint("rack", i)),
+		})
+	}
+	client, err := exchange.New(exchange.Options{})
+	assert.NilError(t, err)
+	o := Options{Dispatcher: s.dispatcher, Claims: s.registry, Exchange: client, Configuration: s, Retry: retry.Options{Ratio: 1}}
+	if change != nil {
+		change(&o)
+	}
+	s.Gateway, err = New(o)
+	assert.NilError(t, err)
+	_, s.url = s.serve(t, ServerOptions{ListenerOpen: time.Millisecond})
+	t.Cleanup(func() { client.Close() })
+	return s
+}
+
+func (s *site) serve(t testing.TB, o ServerOptions) (*Server, string) {
+	server, err := NewServer(s.Gateway, o)
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go server.Serve(l)
+	t.Cleanup(func() { server.http.Close() })
+	return server, "http://" + l.Addr().String()
+}
+
+// send sends a request on a connection of its own and returns the response
+// with the body it could read.
+func send(t testing.TB, method, url, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(r)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	return resp, string(answer), err
+}
+
+func outcome(r *http.Response) Outcome { return Outcome(r.Header.Get(HeaderOutcome)) }
--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"peridotcrank.dev/claims"
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/routing"
+)
+
+// unreadLinger bounds the time in which the server discards the rest of a
+// body that the gateway did not read.
+const unreadLinger = 500 * time.Millisecond
+
+// call is one request on its way through the gateway.
+type call struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+
+	route      *route
+	customer   fleet.CustomerID
+	key        string // Idempotency-Key.
+	idempotent bool
+	deadline   time.Time
+	body       body
+	bodyRead   bool
+	claimed    *claims.Key // The claim to release when the request is not run.
+
+	// exchangeContext bounds the exchanges by the deadline. That of a
+	// non-idempotent request outlives the caller's connection: cancelling it
+	// would not undo the request, and the slot is in use until it ends.
+	exchangeContext context.Context
+
+	// State of the attempts.
+	attempts    int
+	mayHaveRun  *refusal // Refusal for the first attempt that may have been run.
+	avoid       []routing.Target
+	reservation routing.Reservation // Nil between attempts.
+
+	status  int
+	outcome Outcome
+	reason  string
+	err     error
+	aborted bool
+}
+
+func newCall(g *Gateway, w http.ResponseWriter, r *http.Request) *call {
+	return &call{g: g, w: w, r: r, arrived: time.Now(), body: body{budget: &g.buffered}}
+}
+
+// run takes the request through all steps. A refusal says that the caller has
+// not been answered yet.
+func (c *call) run() *refusal {
+	if ref := c.prepare(); ref != nil {
+		return ref
+	}
+	if ref := c.readBody(); ref != nil {
+		return ref
+	}
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	if ref := c.claim(ctx); ref != nil {
+		return ref
+	}
+	c.exchangeContext = ctx
+	if !c.idempotent {
+		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
+		defer cancel()
+		c.exchangeContext = detached
+	}
+	return c.dispatch(ctx)
+}
+
+// prepare checks the request, matches its service and sets its deadline.
+func (c *call) prepare() *refusal {
+	if c.r.Method == http.MethodConnect || hasDotSegment(c.r.URL.Path) {
+		return badRequest("the request target is not accepted")
+	}
+	routes := c.g.routes()
+	if routes == nil {
+		return shed("no configuration is in force yet", 0)
+	}
+	if c.route = routes.match(c.r.URL.Path); c.route == nil {
+		return notRun(http.StatusNotFound, "no service matches the path")
+	}
+	var ref *refusal
+	if c.customer, ref = customer(c.r.Header); ref != nil {
+		return ref
+	}
+	if c.key, ref = idempotencyKey(c.r.Header); ref != nil {
+		return ref
+	}
+	timeout, ref := callerTimeout(c.r.Header, c.route.Timeout)
+	c.deadline = c.arrived.Add(timeout)
+	c.idempotent = idempotent(c.r.Method)
+	return ref
+}
+
+// claim records the key of a non-idempotent request.
+func (c *call) claim(ctx context.Context) *refusal {
+	if c.idempotent || c.key == "" {
+		return nil
+	}
+	key := claims.Key{Service: string(c.route.Name), Customer: string(c.customer), Value: c.key}
+	verdict, err := c.g.options.Claims.Claim(ctx, key)
+	switch verdict {
+	case claims.VerdictFresh:
+		c.claimed = &key
+		return nil
+	case claims.VerdictSeen:
+		return unknown(http.StatusConflict, "the idempotency key was used before", err)
+	case claims.VerdictFull:
+		return shed("too many idempotency keys are in use", 0)
+	}
+	ref := unknown(http.StatusServiceUnavailable, "whether the idempotency key was used before cannot be told", err)
+	ref.retryAfter = minRetryAfter
+	return ref
+}
+
+// refuse answers the caller on the gateway's own behalf.
+func (c *call) refuse(ref *refusal) {
+	if ref.outcome == OutcomeNotRun && c.claimed != nil {
+		c.g.options.Claims.Release(context.WithoutCancel(c.r.Context()), *c.claimed)
+	}
+	if !c.bodyRead {
+		c.w.Header().Set("Connection", "close")
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(unreadLinger)) // Unsupported only by test recorders.
+	}
+	c.status, c.outcome, c.reason, c.err = ref.status, ref.outcome, ref.reason, ref.err
+	ref.write(c.w)
+}
+
+// end frees what the call holds, also when it panics.
+func (c *call) end() {
+	c.endAttempt(routing.ResultBroken)
+	c.body.release()
+	o := Observation{
+		Customer: c.customer, Status: c.status, Outcome: c.outcome, Reason: c.reason, Err: c.err,
+		Attempts: c.attempts, Duration: time.Since(c.arrived), Aborted: c.aborted,
+	}
+	if c.route != nil {
+		o.Service, o.Pool = c.route.Name, c.route.Pool
+	}
+	c.g.options.Observe(o)
+}
--- /dev/null
+++ b/gateway/faults_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/limits/retry"
+)
+
+var brokenFaults = []fault{closesUnread, closesAfterHeader, closesAfterBody, closesMidAnswer, answersOverlong}
+
+// Guards against a request that runs twice and against a wrong outcome: the
+// first backend server fails each request at one point, on a fresh and on a
+// reused connection. A non-idempotent request must not reach any backend
+// server again; an idempotent one must be answered by the other rack.
+func TestNoReplayAfterAByteWasWritten(t *testing.T) {
+	for _, f := range brokenFaults {
+		for _, reused := range []bool{false, true} {
+			for _, method := range []string{"GET", "PUT", "POST"} {
+				for _, body := range []string{"", "payload"} {
+					for _, key := range []string{"", "k1"} {
+						t.Run(fmt.Sprintf("%s/reused=%t/%s/body=%q/key=%q", f, reused, method, body, key), func(t *testing.T) {
+							checkFault(t, f, reused, method, body, key)
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+func checkFault(t *testing.T, f fault, reused bool, method, body, key string) {
+	first, second := newBackend(t), newBackend(t)
+	s := newSite(t, nil, first, second)
+	if reused {
+		resp, _, err := send(t, "GET", s.url+"/warm-up", "")
+		assert.NilError(t, err)
+		assert.Equal(t, outcome(resp), OutcomeAnswered)
+	}
+	first.set(f)
+	var header []string
+	if key != "" {
+		header = []string{HeaderIdempotencyKey, key}
+	}
+	resp, answer, err := send(t, method, s.url+"/order", body, header...)
+	assert.NilError(t, err)
+	arrived := 1
+	if f == closesUnread {
+		arrived = 0
+	}
+	assert.Equal(t, first.count("/order"), arrived)
+	if method == "POST" {
+		assert.Equal(t, second.count("/order"), 0)
+		assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+		assert.Equal(t, outcome(resp), OutcomeUnknown)
+	} else {
+		assert.Equal(t, second.count("/order"), 1)
+		assert.Equal(t, answer, "/order "+body)
+		assert.Equal(t, outcome(resp), OutcomeAnswered)
+	}
+	assert.Equal(t, s.InFlight("vm0", 1)+s.InFlight("vm1", 1), 0)
+	if method == "POST" && key != "" {
+		resp, _, _ = send(t, method, s.url+"/order", body, header...)
+		assert.Equal(t, resp.StatusCode, http.StatusConflict)
+		assert.Equal(t, outcome(resp), OutcomeUnknown)
+	}
+}
+
+// Shows that the counting backend server detects a replay: the default
+// Transport sends a keyed POST again after the backend server has read it.
+func TestReverseProxyReplaysAKeyedRequest(t *testing.T) {
+	b := newBackend(t)
+	proxy := httptest.NewServer(httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: b.Addr().String()}))
+	defer proxy.Close()
+	_, _, err := send(t, "GET", proxy.URL+"/warm-up", "")
+	assert.NilError(t, err)
+	b.set(closesAfterBody)
+	_, _, err = send(t, "POST", proxy.URL+"/order", "", HeaderIdempotencyKey, "k1")
+	assert.NilError(t, err)
+	assert.Equal(t, b.count("/order"), 2)
+}
+
+// Guards against a retry of an idempotent request without budget.
+func TestRetriesEndWithTheBudget(t *testing.T) {
+	first, second := newBackend(t), newBackend(t)
+	s := newSite(t, func(o *Options) { o.Retry = retry.Options{Ratio: 0.1} }, first, second)
+	first.set(closesAfterBody)
+	answered := 0
+	for range 30 {
+		resp, _, err := send(t, "GET", s.url+"/stock", "")
+		assert.NilError(t, err)
+		if outcome(resp) == OutcomeAnswered {
+			answered++
+		} else {
+			assert.Equal(t, outcome(resp), OutcomeUnknown)
+		}
+	}
+	assert.Equal(t, answered, 3)
+	assert.Equal(t, second.count("/stock"), 3)
+}
+
+// Guards against a lost order when an idle connection was closed by its
+// backend server: no byte was written, so a fresh connection is used.
+func TestClosedIdleConnectionIsReplaced(t *testing.T) {
+	b := newBackend(t)
+	s := newSite(t, nil, b)
+	b.set(closesWhenIdle)
+	for range 20 {
+		resp, _, err := send(t, "POST", s.url+"/order", "")
+		assert.NilError(t, err)
+		assert.Equal(t, outcome(resp), OutcomeAnswered)
+		<-b.closed
+	}
+	assert.Equal(t, b.count("/order"), 20)
+}
+
+// Guards against an outcome other than not-run, and against a claim that
+// outlives it, when no byte could be written.
+func TestUnreachableBackendServerMeansNotRun(t *testing.T) {
+	down, up := newBackend(t), newBackend(t)
+	down.Close()
+	s := newSite(t, nil, down)
+	for range 2 {
+		resp, _, _ := send(t, "POST", s.url+"/order", "", HeaderIdempotencyKey, "k1")
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, outcome(resp), OutcomeNotRun)
+	}
+	s = newSite(t, nil, down, up)
+	resp, _, _ := send(t, "POST", s.url+"/order", "", HeaderIdempotencyKey, "k1")
+	assert.Equal(t, outcome(resp), OutcomeAnswered)
+	assert.Equal(t, up.count("/order"), 1)
+}
--- /dev/null
+++ b/gateway/inflight.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"sync"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/routing"
+)
+
+// vmGeneration identifies a VM in one pool.
+type vmGeneration struct {
+	vm         fleet.VMID
+	generation uint64
+}
+
+// inFlight counts the requests that each VM may be running. A count starts
+// before the validity of the target is rechecked, so that a request which is
+// not counted yet is refused by the recheck once a drain is visible.
+type inFlight struct {
+	mu     sync.Mutex
+	counts map[vmGeneration]int // Without zero entries.
+}
+
+func keyOf(t routing.Target) vmGeneration { return vmGeneration{t.VM, t.Generation} }
+
+func (f *inFlight) add(k vmGeneration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts[k]++
+}
+
+func (f *inFlight) remove(k vmGeneration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.counts[k]--; f.counts[k] == 0 {
+		delete(f.counts, k)
+	}
+}
+
+func (f *inFlight) count(k vmGeneration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts[k]
+}
