--- /dev/null
+++ b/limits/slots/options.go
@@ -0,0 +1,58 @@
+package slots
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Default values of Options.
+const (
+	DefaultValidity = 3 * time.Second
+	DefaultInFlight = 2 * time.Second
+	DefaultLease    = 500 * time.Millisecond
+)
+
+// ErrOptions reports that an option is out of range.
+var ErrOptions = errors.New("slots: option out of range")
+
+// Options are the time limits that keep two members from using one slot at
+// once. All members of a site must use the same values.
+type Options struct {
+	// Validity is the time for which a process may act on a view after it was
+	// last confirmed. Default 3 s.
+	Validity time.Duration
+	// InFlight is the longest time for which a request holds a slot after its
+	// process may no longer start new ones. Default 2 s, the default timeout
+	// of a service; it must not be below the longest timeout in use.
+	InFlight time.Duration
+	// Lease is the time for which a slot is lent. Default 500 ms.
+	Lease time.Duration
+}
+
+// WithDefaults returns o with default values in place of zero fields.
+func (o Options) WithDefaults() Options {
+	if o.Validity == 0 {
+		o.Validity = DefaultValidity
+	}
+	if o.InFlight == 0 {
+		o.InFlight = DefaultInFlight
+	}
+	if o.Lease == 0 {
+		o.Lease = DefaultLease
+	}
+	return o
+}
+
+// Validate reports the first option that is out of range.
+func (o Options) Validate() error {
+	switch {
+	case o.Validity <= 0:
+		return fmt.Errorf("%w: validity %s is not positive", ErrOptions, o.Validity)
+	case o.InFlight < 0:
+		return fmt.Errorf("%w: in-flight limit %s is negative", ErrOptions, o.InFlight)
+	case o.Lease <= 0:
+		return fmt.Errorf("%w: lease %s is not positive", ErrOptions, o.Lease)
+	}
+	return nil
+}
