--- /dev/null
+++ b/peer/class.go
@@ -0,0 +1,27 @@
+package peer
+
+import "fmt"
+
+// Class is a traffic class. Each class has a stream and a send queue of its
+// own, so that bulk messages of one class do not delay the other.
+type Class uint8
+
+// Traffic classes. The numbers are part of the protocol.
+const (
+	ClassControl Class = iota // Heartbeats, configuration, rows, drains, slots.
+	ClassClaims               // Claims of idempotency keys and their recovery.
+
+	classCount
+)
+
+// String returns the name of the class.
+func (c Class) String() string {
+	switch c {
+	case ClassControl:
+		return "control"
+	case ClassClaims:
+		return "claims"
+	default:
+		return fmt.Sprintf("class(%d)", uint8(c))
+	}
+}
