Add the table service client, its stand-in and the planner

The other modules need the public API of the state side. The store client commits each transaction together with an operation row and, when a reply is lost, reads that row. An absent row does not prove that a delayed request will not take effect, so the client then fences the operation by writing the row on condition that it does not exist. Sending the transaction a second time was ruled out.

The planner keeps each pool at a floor of serving VMs, which is the capacity whenever spare VMs suffice; otherwise the plan carries a warning. A VM of an emptied rack that was replaced joins the spare pool, because returning the replacement would cost a third move.

--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -32,11 +32,22 @@
 	PlanProposed  PlanState = "proposed"
 	PlanConfirmed PlanState = "confirmed"
 	PlanRejected  PlanState = "rejected"
-	PlanCancelled PlanState = "cancelled"
-	PlanDone      PlanState = "done"
-	PlanBlocked   PlanState = "blocked" // Needs an operator; Reason says why.
+	// PlanCancelling means that an operator has cancelled the plan and its
+	// driver is returning the VMs to service.
+	PlanCancelling PlanState = "cancelling"
+	PlanCancelled  PlanState = "cancelled"
+	PlanDone       PlanState = "done"
+	PlanBlocked    PlanState = "blocked" // Needs an operator; Reason says why.
 )
 
+// Driven reports whether a plan in this state needs a driver.
+func (s PlanState) Driven() bool { return s == PlanConfirmed || s == PlanCancelling }
+
+// Ended reports whether a plan in this state never changes a VM again.
+func (s PlanState) Ended() bool {
+	return s == PlanRejected || s == PlanCancelled || s == PlanDone
+}
+
 // MoveStep moves one VM to a pool. From and To are equal when the VM is only rebooted.
 type MoveStep struct {
 	VM         VMID   `json:"vm"`
@@ -46,6 +57,8 @@
 	Reboot     bool   `json:"reboot"`
 	Reason     string `json:"reason"`
 	Done       bool   `json:"done"`
+	// After lists the indices of the steps that must be done before this one starts.
+	After []int `json:"after,omitempty"`
 }
 
 // RowVersion names a row at a version.
@@ -62,6 +75,11 @@
 	Moves  []MoveStep `json:"moves,omitempty"`
 	// Width is the number of VMs moved at once.
 	Width int `json:"width"`
+	// RackWidth and ZoneWidth bound the VMs moved at once in one failure domain.
+	RackWidth int `json:"rack_width,omitempty"`
+	ZoneWidth int `json:"zone_width,omitempty"`
+	// Floors are the numbers of serving VMs that the plan keeps in each pool.
+	Floors map[PoolID]int `json:"floors,omitempty"`
 	// Preconditions are the rows that must be unchanged when the plan is confirmed.
 	Preconditions []RowVersion `json:"preconditions"`
 	// Warnings say what the plan would break, with reasons.
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -30,7 +30,8 @@
 	// Generation increases by one each time the VM changes pool.
 	Generation uint64 `json:"generation"`
 	Phase      Phase  `json:"phase"`
-	// Plan is the plan that owns the VM while it is not serving.
+	// Plan is the confirmed plan that has reserved the VM. A reserved VM keeps
+	// serving until its step starts.
 	Plan PlanID `json:"plan,omitempty"`
 	// Operation identifies the reboot in progress, so that repeating it is safe.
 	Operation string `json:"operation,omitempty"`
@@ -47,7 +48,17 @@
 
 // Pool is a named set of VMs.
 type Pool struct {
-	ID      PoolID `json:"id"`
+	ID PoolID `json:"id"`
+	// Service is the service that the pool runs. Empty for the spare pool.
+	Service ServiceName `json:"service,omitempty"`
+	// Capacity is the number of VMs that the pool needs.
+	Capacity int `json:"capacity"`
+	// Spare marks the pool that replacements are taken from and returned to.
+	Spare bool `json:"spare,omitempty"`
+	// Plan is the confirmed plan that changes the pool. Plans on one pool run
+	// one after the other; the spare pool is not reserved.
+	Plan PlanID `json:"plan,omitempty"`
+
 	Version uint64 `json:"-"`
 }
 
--- /dev/null
+++ b/testbed/platform/platform_test.go
@@ -0,0 +1,150 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/fleet/fleettest"
+	"peridotcrank.dev/store"
+	"peridotcrank.dev/store/storetest"
+	"peridotcrank.dev/testbed/platform"
+)
+
+func serve(t *testing.T, o platform.Options) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(platform.New(o))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func client(t *testing.T, server *httptest.Server, member string) *store.Client {
+	t.Helper()
+	c, err := store.New(server.URL, member, store.Options{RequestTimeout: 200 * time.Millisecond, RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond, WritesPerSecond: 1000, WriteBurst: 100})
+	assert.NilError(t, err)
+	return c
+}
+
+func put(t *testing.T, key string, version store.Version) store.Transaction {
+	t.Helper()
+	w, err := store.Put(key, map[string]string{"key": key})
+	assert.NilError(t, err)
+	return store.Transaction{Conditions: []store.Condition{{Key: key, Version: version}}, Writes: []store.Write{w}}
+}
+
+// Guards against a client and a service that disagree on the protocol.
+func TestProtocol(t *testing.T) {
+	server := serve(t, platform.Options{})
+	c := client(t, server, "a")
+	ctx := context.Background()
+	first, err := c.Commit(ctx, put(t, "vm/1", 0))
+	assert.NilError(t, err)
+	assert.Assert(t, first.Applied())
+	second, err := c.Commit(ctx, put(t, "vm/1", 0))
+	assert.NilError(t, err)
+	assert.Equal(t, second.Outcome, store.OutcomeRejected)
+	assert.DeepEqual(t, second.Failed, []store.Condition{{Key: "vm/1", Version: first.Revision}})
+	snap, err := c.Read(ctx, "vm/", 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(snap.Rows), 1)
+	for range 2 { // The second read is answered with 304.
+		snap, err = c.Read(ctx, "vm/", first.Revision)
+		assert.NilError(t, err)
+		assert.Equal(t, len(snap.Rows), 0)
+		assert.Equal(t, snap.Revision, first.Revision)
+	}
+	gone, err := c.Commit(ctx, store.Transaction{Writes: []store.Write{store.Delete("vm/1")}})
+	assert.NilError(t, err)
+	snap, err = c.Read(ctx, "vm/", first.Revision)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, snap.Rows, []store.Row{{Key: "vm/1", Version: gone.Revision, Deleted: true}})
+}
+
+// Guards against a lost reply that is reported as a failure or written twice.
+func TestReplyLostIsResolved(t *testing.T) {
+	table := storetest.New()
+	server := serve(t, platform.Options{Table: table})
+	c := client(t, server, "a")
+	table.SetFaults(storetest.Fault{Kind: storetest.ReplyLost, Method: storetest.Commits, Count: 1})
+	r, err := c.Commit(context.Background(), put(t, "config", 0))
+	assert.NilError(t, err)
+	assert.Assert(t, r.Applied())
+	assert.Equal(t, table.Counts().Commits, uint64(1))
+}
+
+// Guards against a delayed write that takes effect after it was reported as rejected.
+func TestLateWriteIsFenced(t *testing.T) {
+	table := storetest.New()
+	server := serve(t, platform.Options{Table: table})
+	c := client(t, server, "a")
+	table.SetFaults(storetest.Fault{Kind: storetest.Slow, Method: storetest.Commits, DelayMS: 400, Count: 1})
+	r, err := c.Commit(context.Background(), put(t, "config", 0))
+	assert.NilError(t, err)
+	assert.Equal(t, r.Outcome, store.OutcomeRejected)
+	server.Close() // Waits for the delayed request.
+	snap, _ := table.Rows("config", 0)
+	assert.Equal(t, len(snap.Rows), 0)
+	assert.Equal(t, table.Counts().Rejected, uint64(1))
+}
+
+// Guards against faults that reach clients other than the one cut off.
+func TestOneClientCutOff(t *testing.T) {
+	server := serve(t, platform.Options{})
+	body := `{"faults": [{"kind": "down", "client": "a"}]}`
+	res, err := http.Post(server.URL+"/v1/faults", "application/json", strings.NewReader(body))
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+	_, err = client(t, server, "a").Read(context.Background(), "vm/", 0)
+	assert.Assert(t, errors.Is(err, store.ErrUnavailable))
+	assert.ErrorContains(t, err, "read vm/ at "+server.URL)
+	_, err = client(t, server, "b").Read(context.Background(), "vm/", 0)
+	assert.NilError(t, err)
+}
+
+// Guards against a reboot that runs twice and a VM list that does not lag.
+func TestRebootAndListLag(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := fleettest.Fleet(fleettest.WASouth())
+	reboots := make(chan fleet.VMID, 4)
+	server := serve(t, platform.Options{
+		VMs: []fleet.VM{s.VMs["vm-0000"]}, ListLag: 5 * time.Second, RebootTime: 10 * time.Second,
+		Now: func() time.Time { return now }, OnReboot: func(vm fleet.VMID, up bool) {
+			if !up {
+				reboots <- vm
+			}
+		},
+	})
+	p, err := store.NewHTTPPlatform(server.URL, "a", 0)
+	assert.NilError(t, err)
+	ctx := context.Background()
+	state, err := p.RebootState(ctx, "vm-0000", "op")
+	assert.NilError(t, err)
+	assert.Equal(t, state, store.RebootUnknown)
+	assert.NilError(t, p.Reboot(ctx, "vm-0000", "op"))
+	assert.NilError(t, p.Reboot(ctx, "vm-0000", "op"))
+	<-reboots
+	assert.Equal(t, listed(t, p), store.VMLive)
+	now = now.Add(6 * time.Second)
+	assert.Equal(t, listed(t, p), store.VMLeaving)
+	now = now.Add(10 * time.Second)
+	assert.Equal(t, listed(t, p), store.VMLive)
+	state, err = p.RebootState(ctx, "vm-0000", "op")
+	assert.NilError(t, err)
+	assert.Equal(t, state, store.RebootDone)
+	assert.Equal(t, len(reboots), 0)
+}
+
+func listed(t *testing.T, p store.Platform) store.VMState {
+	t.Helper()
+	list, err := p.VMs(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, len(list.VMs), 1)
+	return list.VMs[0].State
+}
--- /dev/null
+++ b/testbed/platform/vms.go
@@ -0,0 +1,228 @@
+package platform
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/store"
+	"peridotcrank.dev/store/storetest"
+)
+
+// vms holds the VM list and the reboots.
+type vms struct {
+	now      func() time.Time
+	onReboot func(fleet.VMID, bool)
+
+	mu          sync.Mutex
+	lag         time.Duration
+	rebootTime  time.Duration
+	failReboots map[fleet.VMID]bool
+	list        map[fleet.VMID]*entry
+	reboots     map[rebootKey]*reboot
+}
+
+type entry struct {
+	info    store.VMInfo
+	changes []change // The last changes, oldest first.
+}
+
+type change struct {
+	at    time.Time
+	state store.VMState
+}
+
+type rebootKey struct {
+	vm        fleet.VMID
+	operation string
+}
+
+type reboot struct {
+	doneAt time.Time
+	fails  bool
+}
+
+func newVMs(o Options) *vms {
+	v := &vms{
+		now: o.Now, onReboot: o.OnReboot, lag: o.ListLag, rebootTime: o.RebootTime,
+		failReboots: map[fleet.VMID]bool{}, list: map[fleet.VMID]*entry{}, reboots: map[rebootKey]*reboot{},
+	}
+	for _, vm := range o.VMs {
+		v.list[vm.ID] = &entry{info: store.VMInfo{
+			ID: vm.ID, Address: vm.Address, Rack: vm.Rack, Zone: vm.Zone,
+			Slots: vm.Slots, Connections: vm.Connections, State: store.VMLive,
+		}}
+	}
+	return v
+}
+
+// snapshot returns the list as it was one lag ago.
+func (v *vms) snapshot() []store.VMInfo {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	horizon := v.now().Add(-v.lag)
+	infos := make([]store.VMInfo, 0, len(v.list))
+	for _, e := range v.list {
+		infos = append(infos, e.at(horizon))
+	}
+	slices.SortFunc(infos, func(a, b store.VMInfo) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return infos
+}
+
+func (e *entry) at(horizon time.Time) store.VMInfo {
+	info := e.info
+	for _, c := range e.changes {
+		if !c.at.After(horizon) {
+			info.State = c.state
+		}
+	}
+	return info
+}
+
+// maxChanges bounds the changes remembered per VM. Older ones count as visible.
+const maxChanges = 64
+
+func (v *vms) setState(id fleet.VMID, state store.VMState, at time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.setStateLocked(id, state, at)
+}
+
+func (v *vms) setStateLocked(id fleet.VMID, state store.VMState, at time.Time) bool {
+	e, ok := v.list[id]
+	if !ok {
+		return false
+	}
+	if len(e.changes) == maxChanges {
+		e.info.State = e.changes[0].state
+		e.changes = e.changes[1:]
+	}
+	e.changes = append(e.changes, change{at, state})
+	return true
+}
+
+// start starts a reboot unless the operation is known.
+func (v *vms) start(id fleet.VMID, operation string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if _, ok := v.list[id]; !ok {
+		return false
+	}
+	key := rebootKey{id, operation}
+	if _, known := v.reboots[key]; known {
+		return true
+	}
+	now := v.now()
+	done := now.Add(v.rebootTime)
+	fails := v.failReboots[id]
+	v.reboots[key] = &reboot{doneAt: done, fails: fails}
+	v.setStateLocked(id, store.VMLeaving, now)
+	if !fails {
+		v.setStateLocked(id, store.VMLive, done)
+	}
+	if v.onReboot != nil {
+		go v.onReboot(id, false)
+		if !fails {
+			time.AfterFunc(v.rebootTime, func() { v.onReboot(id, true) })
+		}
+	}
+	return true
+}
+
+func (v *vms) state(id fleet.VMID, operation string) store.RebootState {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r, ok := v.reboots[rebootKey{id, operation}]
+	switch {
+	case !ok:
+		return store.RebootUnknown
+	case v.now().Before(r.doneAt):
+		return store.RebootRunning
+	case r.fails:
+		return store.RebootFailed
+	}
+	return store.RebootDone
+}
+
+func (v *vms) setFaults(req FaultRequest) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if req.ListLagMS != nil {
+		v.lag = time.Duration(*req.ListLagMS) * time.Millisecond
+	}
+	if req.RebootMS != nil {
+		v.rebootTime = time.Duration(*req.RebootMS) * time.Millisecond
+	}
+	if req.FailReboots != nil {
+		v.failReboots = map[fleet.VMID]bool{}
+		for _, id := range *req.FailReboots {
+			v.failReboots[id] = true
+		}
+	}
+}
+
+func (v *vms) faults(table []storetest.Fault) FaultRequest {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	lag, rebootTime := v.lag.Milliseconds(), v.rebootTime.Milliseconds()
+	failing := make([]fleet.VMID, 0, len(v.failReboots))
+	for id := range v.failReboots {
+		failing = append(failing, id)
+	}
+	slices.Sort(failing)
+	return FaultRequest{Faults: &table, ListLagMS: &lag, RebootMS: &rebootTime, FailReboots: &failing}
+}
+
+func (s *server) listVMs(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, store.VMList{VMs: s.vms.snapshot()})
+}
+
+func (s *server) setVMState(w http.ResponseWriter, r *http.Request) {
+	var req struct {
+		State store.VMState `json:"state"`
+	}
+	if !readJSON(w, r, &req) {
+		return
+	}
+	if req.State != store.VMLive && req.State != store.VMLeaving {
+		http.Error(w, "state is not live or leaving", http.StatusBadRequest)
+		return
+	}
+	if !s.vms.setState(fleet.VMID(r.PathValue("id")), req.State, s.vms.now()) {
+		http.Error(w, "unknown VM", http.StatusNotFound)
+	}
+}
+
+func (s *server) reboot(w http.ResponseWriter, r *http.Request) {
+	var req struct {
+		Operation string `json:"operation"`
+	}
+	if !readJSON(w, r, &req) {
+		return
+	}
+	if req.Operation == "" {
+		http.Error(w, "operation is missing", http.StatusBadRequest)
+		return
+	}
+	if !s.vms.start(fleet.VMID(r.PathValue("id")), req.Operation) {
+		http.Error(w, "unknown VM", http.StatusNotFound)
+		return
+	}
+	s.rebootReply(w, r, req.Operation)
+}
+
+func (s *server) rebootState(w http.ResponseWriter, r *http.Request) {
+	s.rebootReply(w, r, r.PathValue("operation"))
+}
+
+func (s *server) rebootReply(w http.ResponseWriter, r *http.Request, operation string) {
+	state := s.vms.state(fleet.VMID(r.PathValue("id")), operation)
+	if state == store.RebootUnknown {
+		http.Error(w, "unknown operation", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, map[string]store.RebootState{"state": state})
+}
