--- /dev/null
+++ b/eventlog/codes.go
@@ -0,0 +1,247 @@
+package eventlog
+
+// Codes of the gateway, 1000 to 1999.
+const (
+	RequestRejected    Code = 1001
+	RequestUnknown     Code = 1002
+	ResponseCut        Code = 1003
+	SlowSender         Code = 1004
+	GatewayReady       Code = 1010
+	GatewayNotReady    Code = 1011
+	GatewayListenFault Code = 1012
+)
+
+// Codes of traffic and routing, 2000 to 2999.
+const (
+	RequestsShed        Code = 2001
+	BackendEjected      Code = 2002
+	BackendReturned     Code = 2003
+	EjectionLimit       Code = 2004
+	BackendRefused      Code = 2005
+	SpillStarted        Code = 2006
+	SpillEnded          Code = 2007
+	RetryBudgetSpent    Code = 2008
+	SlotsBorrowed       Code = 2009
+	PoolWithoutBackends Code = 2010
+	AvailabilityAtRisk  Code = 2011
+)
+
+// Codes of peers and membership, 3000 to 3999.
+const (
+	PeerConnected    Code = 3001
+	PeerDisconnected Code = 3002
+	PeerRefused      Code = 3003
+	MemberJoined     Code = 3010
+	MemberLeft       Code = 3011
+	MemberSuspected  Code = 3012
+	MemberRecovered  Code = 3013
+	MemberEvicted    Code = 3014
+	SelfEvicted      Code = 3015
+	ViewExpired      Code = 3020
+	ViewConfirmed    Code = 3021
+	ClockLeadIgnored Code = 3030
+)
+
+// Codes of claims, 4000 to 4999.
+const (
+	ClaimDuplicate        Code = 4001
+	ClaimUnknown          Code = 4002
+	ClaimTableFull        Code = 4003
+	ClaimRecoveryStarted  Code = 4010
+	ClaimRecoveryDone     Code = 4011
+	ClaimsPossiblyLost    Code = 4012
+	ClaimsHandedOver      Code = 4013
+	ClaimHandoverFailed   Code = 4014
+	ClaimOwnerUnreachable Code = 4015
+)
+
+// Codes of the store, 5000 to 5999.
+const (
+	StoreReachable         Code = 5001
+	StoreUnreachable       Code = 5002
+	BreakerOpened          Code = 5003
+	BreakerClosed          Code = 5004
+	OutcomeResolved        Code = 5005
+	OutcomeUnresolved      Code = 5006
+	WriteBudgetSpent       Code = 5007
+	RowUnreadable          Code = 5008
+	VMListStale            Code = 5009
+	TransactionRejected    Code = 5010
+	StoreRevisionDecreased Code = 5011
+)
+
+// Codes of plans and moves, 6000 to 6999.
+const (
+	IntentCreated        Code = 6001
+	PlanProposed         Code = 6002
+	PlanConfirmed        Code = 6003
+	PlanRefused          Code = 6004
+	PlanRejected         Code = 6005
+	PlanCancelled        Code = 6006
+	PlanDone             Code = 6007
+	PlanBlocked          Code = 6008
+	PlanLeaseTaken       Code = 6010
+	PlanLeaseLost        Code = 6011
+	MoveStep             Code = 6020
+	MoveStepRetried      Code = 6021
+	MoveStuck            Code = 6022
+	RebootFailed         Code = 6023
+	ProbeFailed          Code = 6024
+	DrainUnconfirmed     Code = 6025
+	VMLeaving            Code = 6030
+	VMInTwoPools         Code = 6031
+	GenerationUnexpected Code = 6032
+)
+
+// Codes of configuration, 7000 to 7999.
+const (
+	ConfigAccepted      Code = 7001
+	ConfigInForce       Code = 7002
+	ConfigReceived      Code = 7003
+	ConfigLagging       Code = 7004
+	ConfigRefused       Code = 7005
+	ConfigUnreadable    Code = 7006
+	ConfigOlderIgnored  Code = 7007
+	ConfigPushFailed    Code = 7008
+	ConfigServiceNoPool Code = 7009
+)
+
+// Codes of the administration API, 8000 to 8999.
+const (
+	AdminWrite          Code = 8001
+	AdminUnauthorized   Code = 8002
+	AdminForbidden      Code = 8003
+	AdminTokenExpired   Code = 8004
+	AdminWriteFailed    Code = 8005
+	AdminWriteUnknown   Code = 8006
+	AdminReplayed       Code = 8007
+	AdminPanic          Code = 8008
+	AdminTokenExpiring  Code = 8009
+	AdminListenFault    Code = 8010
+	AdminRequestInvalid Code = 8011
+)
+
+// Codes of the process, 9000 to 9999.
+const (
+	ProcessStarted       Code = 9001
+	ProcessReady         Code = 9002
+	ProcessStopping      Code = 9003
+	ProcessStopped       Code = 9004
+	ProcessStopForced    Code = 9005
+	ProcessPaused        Code = 9006
+	ProcessFailed        Code = 9007
+	MetricsListenFault   Code = 9008
+	ReportsDropped       Code = 9009
+	ControlLoopSaturated Code = 9010
+)
+
+// catalogue holds each code once, in ascending order. docs/EVENTS.md lists the same rows.
+var catalogue = []Definition{
+	{RequestRejected, "request-rejected", LevelInfo, "A caller's request was malformed or matched no service and was not run."},
+	{RequestUnknown, "request-outcome-unknown", LevelWarning, "A request was sent and no complete answer arrived."},
+	{ResponseCut, "response-cut", LevelWarning, "A streamed response ended early; the connection to the caller was aborted."},
+	{SlowSender, "slow-sender", LevelInfo, "A caller sent its request too slowly and got status 408."},
+	{GatewayReady, "gateway-ready", LevelInfo, "The readiness endpoint reports ready."},
+	{GatewayNotReady, "gateway-not-ready", LevelWarning, "The readiness endpoint reports not ready."},
+	{GatewayListenFault, "gateway-listen-fault", LevelAlarm, "The listener for callers failed."},
+
+	{RequestsShed, "requests-shed", LevelWarning, "Requests were shed before they were sent; one event sums up an interval."},
+	{BackendEjected, "backend-ejected", LevelWarning, "A backend server was ejected from routing because of its errors."},
+	{BackendReturned, "backend-returned", LevelInfo, "An ejected backend server is used again."},
+	{EjectionLimit, "ejection-limit", LevelAlarm, "Half of a pool is ejected; further failing backend servers stay in use."},
+	{BackendRefused, "backend-refused", LevelInfo, "A backend server refused a connection; the request was not run there."},
+	{SpillStarted, "spill-started", LevelInfo, "Requests are sent to another availability zone because the own one is full."},
+	{SpillEnded, "spill-ended", LevelInfo, "Requests stay in the own availability zone again."},
+	{RetryBudgetSpent, "retry-budget-spent", LevelWarning, "The retry budget is spent; idempotent requests are not retried."},
+	{SlotsBorrowed, "slots-borrowed", LevelInfo, "Worker slots were borrowed from a peer."},
+	{PoolWithoutBackends, "pool-without-backends", LevelAlarm, "A pool with a service has no routable backend server."},
+	{AvailabilityAtRisk, "availability-at-risk", LevelAlarm, "A service uses up its availability budget faster than it may."},
+
+	{PeerConnected, "peer-connected", LevelInfo, "A session with another entry process was opened."},
+	{PeerDisconnected, "peer-disconnected", LevelWarning, "A session with another entry process ended."},
+	{PeerRefused, "peer-refused", LevelWarning, "A session or message of a peer was refused."},
+	{MemberJoined, "member-joined", LevelInfo, "An entry process joined the member view."},
+	{MemberLeft, "member-left", LevelInfo, "An entry process left the member view after a planned stop."},
+	{MemberSuspected, "member-suspected", LevelWarning, "A member was silent for longer than the suspicion timeout."},
+	{MemberRecovered, "member-recovered", LevelInfo, "A suspected member was heard from again."},
+	{MemberEvicted, "member-evicted", LevelAlarm, "A member was evicted from the member view."},
+	{SelfEvicted, "self-evicted", LevelAlarm, "This process found itself evicted and rejoins with a new incarnation."},
+	{ViewExpired, "view-expired", LevelAlarm, "The view of the fleet is no longer valid; nothing new is sent."},
+	{ViewConfirmed, "view-confirmed", LevelInfo, "The view of the fleet is valid again."},
+	{ClockLeadIgnored, "clock-lead-ignored", LevelWarning, "A peer's timestamp was too far ahead and was not adopted."},
+
+	{ClaimDuplicate, "claim-duplicate", LevelInfo, "A key was claimed before; the request was not sent again."},
+	{ClaimUnknown, "claim-unknown", LevelWarning, "It cannot be told whether a key was claimed; the request was not sent."},
+	{ClaimTableFull, "claim-table-full", LevelAlarm, "The claim table is full; new requests with a key are refused."},
+	{ClaimRecoveryStarted, "claim-recovery-started", LevelInfo, "This process asks the members for claims of its new range."},
+	{ClaimRecoveryDone, "claim-recovery-done", LevelInfo, "All members answered; claims of the range are known."},
+	{ClaimsPossiblyLost, "claims-possibly-lost", LevelWarning, "Claims may be lost; keys that are not known are answered as unknown until the window has passed."},
+	{ClaimsHandedOver, "claims-handed-over", LevelInfo, "Claims were handed over before a planned stop."},
+	{ClaimHandoverFailed, "claim-handover-failed", LevelWarning, "Claims could not be handed over; the new owners recover them."},
+	{ClaimOwnerUnreachable, "claim-owner-unreachable", LevelWarning, "The owner of a key could not be reached; the request was not sent."},
+
+	{StoreReachable, "store-reachable", LevelInfo, "The table service answers again."},
+	{StoreUnreachable, "store-unreachable", LevelAlarm, "The table service does not answer; nothing can be changed, requests are served."},
+	{BreakerOpened, "breaker-opened", LevelWarning, "The circuit breaker of the table service opened."},
+	{BreakerClosed, "breaker-closed", LevelInfo, "The circuit breaker of the table service closed."},
+	{OutcomeResolved, "outcome-resolved", LevelInfo, "An unknown outcome was resolved by its operation row."},
+	{OutcomeUnresolved, "outcome-unresolved", LevelAlarm, "An outcome is still unknown at the end of the resolution budget."},
+	{WriteBudgetSpent, "write-budget-spent", LevelWarning, "The write budget of the table service is spent; plans progress more slowly."},
+	{RowUnreadable, "row-unreadable", LevelAlarm, "A row of the table service cannot be decoded."},
+	{VMListStale, "vm-list-stale", LevelWarning, "The platform's VM list has not been read for longer than its limit."},
+	{TransactionRejected, "transaction-rejected", LevelInfo, "A transaction was rejected because a row had changed."},
+	{StoreRevisionDecreased, "store-revision-decreased", LevelAlarm, "The table service returned a lower revision than before."},
+
+	{IntentCreated, "intent-created", LevelInfo, "An operator created an intent."},
+	{PlanProposed, "plan-proposed", LevelInfo, "A plan was computed for an intent."},
+	{PlanConfirmed, "plan-confirmed", LevelInfo, "An operator confirmed a plan."},
+	{PlanRefused, "plan-refused", LevelWarning, "A confirmation was refused because a precondition had changed."},
+	{PlanRejected, "plan-rejected", LevelInfo, "An operator rejected a plan."},
+	{PlanCancelled, "plan-cancelled", LevelInfo, "An operator cancelled a confirmed plan."},
+	{PlanDone, "plan-done", LevelInfo, "All steps of a plan are done."},
+	{PlanBlocked, "plan-blocked", LevelAlarm, "A plan cannot proceed without an operator."},
+	{PlanLeaseTaken, "plan-lease-taken", LevelInfo, "This process drives a plan."},
+	{PlanLeaseLost, "plan-lease-lost", LevelWarning, "Another process took over a plan that this process drove."},
+	{MoveStep, "move-step", LevelInfo, "A VM reached the next phase of its move."},
+	{MoveStepRetried, "move-step-retried", LevelWarning, "A step of a move failed and is repeated."},
+	{MoveStuck, "move-stuck", LevelAlarm, "A VM has been in one phase of its move for longer than the limit."},
+	{RebootFailed, "reboot-failed", LevelAlarm, "The platform reports that a reboot failed."},
+	{ProbeFailed, "probe-failed", LevelWarning, "A moved VM did not answer its probe."},
+	{DrainUnconfirmed, "drain-unconfirmed", LevelWarning, "A member has not confirmed a drain yet."},
+	{VMLeaving, "vm-leaving", LevelInfo, "A VM was announced to be leaving; it receives no new requests."},
+	{VMInTwoPools, "vm-in-two-pools", LevelAlarm, "A VM was found in two pools; its moves are stopped."},
+	{GenerationUnexpected, "generation-unexpected", LevelWarning, "A VM has another generation than the plan's step expects."},
+
+	{ConfigAccepted, "config-accepted", LevelInfo, "A configuration was committed as the next version."},
+	{ConfigInForce, "config-in-force", LevelInfo, "All live members have confirmed a configuration version."},
+	{ConfigReceived, "config-received", LevelInfo, "This process took a newer configuration."},
+	{ConfigLagging, "config-lagging", LevelAlarm, "A live member has not confirmed a configuration within the limit."},
+	{ConfigRefused, "config-refused", LevelInfo, "A configuration was refused because it was invalid or its base version was old."},
+	{ConfigUnreadable, "config-unreadable", LevelAlarm, "A received configuration cannot be decoded; the previous one stays in force."},
+	{ConfigOlderIgnored, "config-older-ignored", LevelInfo, "An older configuration than the one in force was ignored."},
+	{ConfigPushFailed, "config-push-failed", LevelWarning, "A configuration could not be pushed to a peer; the peer reads it from the store."},
+	{ConfigServiceNoPool, "config-service-without-pool", LevelWarning, "A service of the configuration names a pool that does not exist."},
+
+	{AdminWrite, "admin-write", LevelInfo, "An operator's change was carried out."},
+	{AdminUnauthorized, "admin-unauthorized", LevelWarning, "A request to the administration API carried no valid token."},
+	{AdminForbidden, "admin-forbidden", LevelWarning, "An operator's role does not permit the request."},
+	{AdminTokenExpired, "admin-token-expired", LevelWarning, "A request to the administration API carried an expired token."},
+	{AdminWriteFailed, "admin-write-failed", LevelWarning, "An operator's change was refused or failed."},
+	{AdminWriteUnknown, "admin-write-unknown", LevelAlarm, "It is not known whether an operator's change took effect."},
+	{AdminReplayed, "admin-replayed", LevelInfo, "A repeated change was answered with the recorded reply."},
+	{AdminPanic, "admin-panic", LevelAlarm, "A handler of the administration API panicked."},
+	{AdminTokenExpiring, "admin-token-expiring", LevelWarning, "An operator's token expires soon."},
+	{AdminListenFault, "admin-listen-fault", LevelAlarm, "The listener of the administration API failed."},
+	{AdminRequestInvalid, "admin-request-invalid", LevelInfo, "A request to the administration API could not be decoded."},
+
+	{ProcessStarted, "process-started", LevelInfo, "The entry process started."},
+	{ProcessReady, "process-ready", LevelInfo, "The entry process has configuration and a valid view and serves callers."},
+	{ProcessStopping, "process-stopping", LevelInfo, "A planned stop began."},
+	{ProcessStopped, "process-stopped", LevelInfo, "The entry process stopped with no request in flight."},
+	{ProcessStopForced, "process-stop-forced", LevelAlarm, "The stop timeout passed with requests in flight; they were cut off."},
+	{ProcessPaused, "process-paused", LevelWarning, "The process was suspended for longer than the validity of its view."},
+	{ProcessFailed, "process-failed", LevelAlarm, "The entry process ends because of an internal fault."},
+	{MetricsListenFault, "metrics-listen-fault", LevelAlarm, "The listener for metrics failed."},
+	{ReportsDropped, "reports-dropped", LevelWarning, "Traffic goroutines dropped reports because the control loop was behind."},
+	{ControlLoopSaturated, "control-loop-saturated", LevelAlarm, "The control loop has been behind for longer than the limit."},
+}
--- /dev/null
+++ b/settings/decode.go
@@ -0,0 +1,132 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/settings/strict"
+)
+
+// Load reads and validates a settings file. The error lists all faults and is
+// a [strict.Faults] when the file could be read.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(file, data)
+}
+
+// Parse validates the contents of a settings file. The file name serves only
+// the messages.
+func Parse(file string, data []byte) (Settings, error) {
+	document, root := strict.Parse(file, data)
+	s := Default()
+	if root.Present() {
+		decode(root, &s)
+		addIssues(document, s.issues())
+	}
+	if err := document.Finish(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// addIssues reports issues at values that could be read.
+func addIssues(document *strict.Document, issues []issue) {
+	for _, i := range issues {
+		if !document.Faulty(i.path) {
+			document.Add(i.path, i.problem, i.accepted)
+		}
+	}
+}
+
+func decode(root *strict.Map, s *Settings) {
+	strict.Required(root, "member", &s.Member, strict.Name[fleet.MemberID]())
+	strict.Required(root, "zone", &s.Zone, strict.Name[fleet.ZoneID]())
+	decodeSite(root.Map("site"), &s.Site)
+	decodeListen(root.Map("listen"), &s.Listen)
+	decodePlatform(root.Map("platform"), &s.Platform)
+	decodeTimeouts(root.Map("timeouts"), &s.Timeouts)
+	decodeLimits(root.Map("limits"), &s.Limits)
+	decodeTLS(root.Map("tls"), &s.TLS)
+	for _, m := range root.List("operators") {
+		s.Operators = append(s.Operators, decodeOperator(m))
+	}
+	decodeLog(root.Map("log"), &s.Log)
+}
+
+func decodeSite(m *strict.Map, s *Site) {
+	strict.Required(m, "name", &s.Name, strict.Name[string]())
+	w := m.Map("weights")
+	strict.Optional(w, "buffer_cost", &s.Weights.BufferCost, strict.Fraction())
+	strict.Optional(w, "roll_out_time", &s.Weights.RollOutTime, strict.Fraction())
+	strict.Optional(w, "vm_moves", &s.Weights.VMMoves, strict.Fraction())
+}
+
+func decodeListen(m *strict.Map, l *Listen) {
+	strict.Required(m, "callers", &l.Callers, strict.Address())
+	strict.Required(m, "peers", &l.Peers, strict.Address())
+	strict.Required(m, "admin", &l.Admin, strict.Address())
+	strict.Required(m, "metrics", &l.Metrics, strict.Address())
+}
+
+func decodePlatform(m *strict.Map, p *Platform) {
+	strict.Required(m, "url", &p.URL, strict.URL())
+	strict.Optional(m, "timeout", &p.Timeout, strict.Duration())
+	strict.Optional(m, "poll_interval", &p.PollInterval, strict.Duration())
+	strict.Optional(m, "writes_per_second", &p.WritesPerSecond, strict.Int())
+}
+
+func decodeTimeouts(m *strict.Map, t *Timeouts) {
+	strict.Optional(m, "read_header", &t.ReadHeader, strict.Duration())
+	strict.Optional(m, "read_body", &t.ReadBody, strict.Duration())
+	strict.Optional(m, "write", &t.Write, strict.Duration())
+	strict.Optional(m, "idle", &t.Idle, strict.Duration())
+	strict.Optional(m, "dial", &t.Dial, strict.Duration())
+	strict.Optional(m, "claim", &t.Claim, strict.Duration())
+	strict.Optional(m, "drain", &t.Drain, strict.Duration())
+	strict.Optional(m, "stop", &t.Stop, strict.Duration())
+}
+
+func decodeLimits(m *strict.Map, l *Limits) {
+	strict.Optional(m, "connections", &l.Connections, strict.Int())
+	strict.Optional(m, "in_flight", &l.InFlight, strict.Int())
+	strict.Optional(m, "header_bytes", &l.HeaderBytes, strict.Bytes())
+	strict.Optional(m, "body_bytes", &l.BodyBytes, strict.Bytes())
+	strict.Optional(m, "response_buffer", &l.ResponseBuffer, strict.Bytes())
+	strict.Optional(m, "retry_ratio", &l.RetryRatio, strict.Fraction())
+	strict.Optional(m, "retry_window", &l.RetryWindow, strict.Duration())
+	strict.Optional(m, "claim_window", &l.ClaimWindow, strict.Duration())
+	strict.Optional(m, "claims", &l.Claims, strict.Int())
+}
+
+func decodeTLS(m *strict.Map, t *TLS) {
+	decodeKeyPair(m.Map("callers"), &t.Callers)
+	decodeKeyPair(m.Map("peers"), &t.Peers)
+	decodeKeyPair(m.Map("admin"), &t.Admin)
+	strict.Optional(m, "peer_ca", &t.PeerCA, file())
+}
+
+func decodeKeyPair(m *strict.Map, p *KeyPair) {
+	strict.Optional(m, "certificate", &p.Certificate, file())
+	strict.Optional(m, "key", &p.Key, file())
+}
+
+func decodeOperator(m *strict.Map) Operator {
+	var o Operator
+	strict.Required(m, "name", &o.Name, strict.Name[string]())
+	strict.Required(m, "token_sha256", &o.TokenSHA256, strict.SHA256())
+	strict.RequiredList(m, "roles", &o.Roles, strict.OneOf(RoleViewer, RoleOperator, RoleAdmin))
+	strict.Optional(m, "expires", &o.Expires, strict.Time())
+	return o
+}
+
+func decodeLog(m *strict.Map, l *Log) {
+	strict.Optional(m, "format", &l.Format, strict.OneOf("json", "text"))
+	strict.Optional(m, "level", &l.Level, strict.OneOf("info", "warning", "alarm"))
+	strict.Optional(m, "timeline", &l.Timeline, strict.Int())
+}
+
+func file() strict.Form[string] { return strict.Text().Accepting("the name of a file in PEM form") }
