--- /dev/null
+++ b/control/members.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"context"
+
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/membership"
+	"peridotcrank.dev/store"
+)
+
+// membersWritten is the end of a write of the members row.
+type membersWritten struct {
+	err error
+}
+
+func (e membersWritten) apply(c *Controller) {
+	c.writing = false
+	c.Refresh()
+}
+
+// joinOnce makes the process want to join after the first read.
+func (c *Controller) joinOnce() { c.joined = true }
+
+// maintainMembership joins, or evicts a member that a majority suspects.
+func (c *Controller) maintainMembership(ctx context.Context) {
+	if c.writing || !c.joined || c.leavingUs || !c.reachable {
+		return
+	}
+	if !c.tracker.InView() {
+		c.join(ctx)
+		return
+	}
+	candidate, ok := c.tracker.EvictionCandidate(c.options.Now())
+	if !ok {
+		return
+	}
+	next, ok := membership.Evict(c.tracker.View(), candidate)
+	if ok {
+		c.options.Log.Record(eventlog.MemberEvicted, eventlog.Fields{"peer": candidate.ID, "view_version": next.Version})
+		c.writeMembers(ctx, next)
+	}
+}
+
+// join writes the next view with a new incarnation of this process.
+func (c *Controller) join(ctx context.Context) {
+	next := membership.Join(c.tracker.View(), c.options.Self)
+	for _, member := range next.Members {
+		if member.ID == c.options.Self.ID {
+			c.self = member
+		}
+	}
+	c.tracker.SetIncarnation(c.self.Incarnation)
+	c.writeMembers(ctx, next)
+}
+
+func (c *Controller) writeMembers(ctx context.Context, next fleet.MemberView) {
+	write, err := store.Put(fleet.KeyMembers, next)
+	if err != nil {
+		return
+	}
+	c.writing = true
+	transaction := store.Transaction{
+		Conditions: []store.Condition{{Key: fleet.KeyMembers, Version: c.rows.membersVersion}},
+		Writes:     []store.Write{write},
+		Priority:   store.PrioritySafety,
+	}
+	c.work.goDo(func() {
+		_, err := c.options.Table.Commit(ctx, transaction)
+		c.send(ctx, membersWritten{err: err})
+	})
+}
+
+// leaveStarted is the order to leave the member view.
+type leaveStarted struct{}
+
+func (leaveStarted) apply(c *Controller) { c.leavingUs = true }
+
+// Leave removes this process from the member view.
+func (c *Controller) Leave(ctx context.Context) error {
+	c.send(ctx, leaveStarted{})
+	for {
+		state := c.State()
+		next, ok := membership.Leave(state.Members, state.Self.ID, state.Self.Incarnation)
+		if !ok {
+			return nil
+		}
+		write, err := store.Put(fleet.KeyMembers, next)
+		if err != nil {
+			return err
+		}
+		result, err := c.options.Table.Commit(ctx, store.Transaction{
+			Conditions: []store.Condition{{Key: fleet.KeyMembers, Version: state.MembersVersion}},
+			Writes:     []store.Write{write},
+			Priority:   store.PrioritySafety,
+		})
+		if err != nil || result.Applied() {
+			return err
+		}
+		if err := c.awaitMembers(ctx, state.MembersVersion); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Controller) logViewChange(before, after fleet.MemberView) {
+	former := make(map[fleet.MemberID]uint64)
+	for _, m := range before.Members {
+		former[m.ID] = m.Incarnation
+	}
+	for _, m := range after.Members {
+		if former[m.ID] != m.Incarnation {
+			c.options.Log.Record(eventlog.MemberJoined, eventlog.Fields{"peer": m.ID, "incarnation": m.Incarnation, "view_version": after.Version})
+		}
+		delete(former, m.ID)
+	}
+	for id := range former {
+		code := eventlog.MemberLeft
+		if id == c.self.ID {
+			code = eventlog.SelfEvicted
+		}
+		c.options.Log.Record(code, eventlog.Fields{"peer": id, "view_version": after.Version})
+	}
+}
--- /dev/null
+++ b/control/rows.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strings"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/store"
+)
+
+// rows is the copy of the table service's rows, with the values decoded from them.
+// It is owned by the control goroutine; published maps are never changed.
+type rows struct {
+	revision store.Version
+	raw      map[string]store.Row
+
+	fleet          fleet.Snapshot
+	members        fleet.MemberView
+	membersVersion store.Version
+	config         fleet.Configuration
+	configVersion  store.Version
+}
+
+func newRows() *rows {
+	return &rows{
+		raw: make(map[string]store.Row),
+		fleet: fleet.Snapshot{
+			VMs:     make(map[fleet.VMID]fleet.VM),
+			Pools:   make(map[fleet.PoolID]fleet.Pool),
+			Plans:   make(map[fleet.PlanID]fleet.Plan),
+			Intents: make(map[fleet.IntentID]fleet.Intent),
+		},
+	}
+}
+
+// apply takes in rows that changed up to a revision. Rows that are not newer
+// than the copy are ignored, so that sources may overlap. A row that cannot
+// be decoded keeps its former value and is reported.
+func (r *rows) apply(revision store.Version, changed []store.Row) []error {
+	var failures []error
+	fresh := make(map[string][]store.Row)
+	for _, row := range changed {
+		if strings.HasPrefix(row.Key, store.PrefixOperation) || row.Version <= r.raw[row.Key].Version {
+			continue
+		}
+		r.raw[row.Key] = row
+		fresh[prefixOf(row.Key)] = append(fresh[prefixOf(row.Key)], row)
+	}
+	for prefix, list := range fresh {
+		failures = append(failures, r.decode(prefix, list)...)
+	}
+	r.revision = max(r.revision, revision)
+	r.fleet.Revision = r.revision
+	return failures
+}
+
+// prefixOf returns the key up to its first slash, that slash included.
+func prefixOf(key string) string {
+	if i := strings.IndexByte(key, '/'); i >= 0 {
+		return key[:i+1]
+	}
+	return key
+}
+
+func (r *rows) decode(prefix string, list []store.Row) []error {
+	switch prefix {
+	case fleet.PrefixVM:
+		return decodeInto(&r.fleet.VMs, prefix, list, func(v *fleet.VM, n uint64) { v.Version = n })
+	case fleet.PrefixPool:
+		return decodeInto(&r.fleet.Pools, prefix, list, func(v *fleet.Pool, n uint64) { v.Version = n })
+	case fleet.PrefixPlan:
+		return decodeInto(&r.fleet.Plans, prefix, list, func(v *fleet.Plan, n uint64) { v.Version = n })
+	case fleet.PrefixIntent:
+		return decodeInto(&r.fleet.Intents, prefix, list, func(v *fleet.Intent, n uint64) { v.Version = n })
+	case fleet.KeyMembers:
+		return decodeRow(list, &r.members, &r.membersVersion)
+	case fleet.KeyConfiguration:
+		return decodeRow(list, &r.config, &r.configVersion)
+	}
+	return nil
+}
+
+// decodeInto replaces a map by a changed copy.
+func decodeInto[K ~string, V any](into *map[K]V, prefix string, list []store.Row, setVersion func(*V, uint64)) []error {
+	var failures []error
+	next := maps.Clone(*into)
+	for _, row := range list {
+		id := K(strings.TrimPrefix(row.Key, prefix))
+		if row.Deleted {
+			delete(next, id)
+			continue
+		}
+		var value V
+		if err := json.Unmarshal(row.Value, &value); err != nil {
+			failures = append(failures, fmt.Errorf("decode row %s at version %d: %w", row.Key, row.Version, err))
+			continue
+		}
+		setVersion(&value, row.Version)
+		next[id] = value
+	}
+	*into = next
+	return failures
+}
+
+func decodeRow[V any](list []store.Row, into *V, version *store.Version) []error {
+	row := list[len(list)-1]
+	var value V
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return []error{fmt.Errorf("decode row %s at version %d: %w", row.Key, row.Version, err)}
+	}
+	*into, *version = value, row.Version
+	return nil
+}
+
+// since returns the rows under prefix that changed after a version, with tombstones.
+func (r *rows) since(prefix string, version store.Version) []store.Row {
+	var list []store.Row
+	for key, row := range r.raw {
+		if row.Version > version && strings.HasPrefix(key, prefix) {
+			list = append(list, row)
+		}
+	}
+	return list
+}
