Test the request path, framing, streaming and shutdown of the gateway

The slot of a streamed answer is now released before its last chunk is written: the test for long answers saw a caller receive the complete answer while the slot was still in use. Requests that cannot be encoded are answered 400 instead of being attempted again.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -80,7 +80,6 @@
 	_ = control.SetWriteDeadline(c.deadline) // Unsupported only by test recorders.
 	c.w.WriteHeader(resp.Status)
 	if c.err = c.copyBody(resp); c.err == nil {
-		c.endAttempt(resultOf(resp.Status))
 		c.err = control.Flush()
 		_ = control.SetWriteDeadline(time.Time{})
 		return nil
@@ -109,6 +108,7 @@
 		}
 		held, next = chunks[next][:n], 1-next
 		if err == io.EOF {
+			c.endAttempt(resultOf(resp.Status))
 			_, werr := c.w.Write(held)
 			return werr
 		}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"strings"
 	"time"
 
 	"peridotcrank.dev/exchange"
@@ -50,7 +51,7 @@
 	c.g.inFlight.add(keyOf(target))
 	setDeadline(header, time.Until(c.deadline))
 	resp, err := c.g.options.Exchange.Do(c.exchangeContext, target.Address, &exchange.Request{
-		Method: c.r.Method, Target: c.r.URL.RequestURI(), Host: c.r.Host, Header: header, Body: c.body.bytes,
+		Method: c.r.Method, Target: c.target(), Host: c.r.Host, Header: header, Body: c.body.bytes,
 		BeforeWrite: c.recheck,
 	})
 	switch {
@@ -64,6 +65,14 @@
 	return resp, err
 }
 
+// target returns the request target in origin form, as the caller sent it if possible.
+func (c *call) target() string {
+	if strings.HasPrefix(c.r.RequestURI, "/") {
+		return c.r.RequestURI
+	}
+	return c.r.URL.RequestURI()
+}
+
 // recheck is called directly before the first byte of an attempt is written.
 func (c *call) recheck() error {
 	if !c.reservation.Valid() {
@@ -94,6 +103,11 @@
 // afterFailure decides whether a failed attempt is followed by another one. A
 // refusal ends the call.
 func (c *call) afterFailure(ctx context.Context, err error) *refusal {
+	if e, ok := errors.AsType[*exchange.Error](err); ok && e.Step == exchange.StepPrepare {
+		ref := badRequest("the request cannot be passed on")
+		ref.err = err
+		return ref
+	}
 	if exchange.ProgressOf(err) == exchange.NotWritten {
 		if c.attempts >= c.g.options.MaxAttempts || ctx.Err() != nil {
 			return c.unavailable(err)
--- /dev/null
+++ b/gateway/path_test.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/claims"
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/routing"
+)
+
+// dial opens a raw connection to the gateway and sends text.
+func (s *site) dial(t *testing.T, text string) (net.Conn, *bufio.Reader) {
+	nc, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	assert.NilError(t, err)
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = io.WriteString(nc, text)
+	assert.NilError(t, err)
+	return nc, bufio.NewReader(nc)
+}
+
+// Guards against request smuggling: each shape must be answered with 400 and
+// not-run, on a first and on a later request, and reach no backend server.
+func TestAmbiguousFramingIsRejected(t *testing.T) {
+	b := newBackend(t)
+	s := newSite(t, nil, b)
+	const plain = "POST /order HTTP/1.1\r\nHost: h\r\n"
+	for _, request := range []string{
+		plain + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		plain + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+		plain + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nabcd",
+		plain + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd",
+		plain + "Content-Length: +4\r\n\r\nabcd",
+		plain + "Content-Length: 4, 4\r\n\r\nabcd",
+		plain + "Content-Length:\r\n\r\n",
+		plain + "Content-Length : 4\r\n\r\nabcd",
+		plain + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		plain + "Transfer-Encoding: identity\r\n\r\n",
+		plain + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		plain + "Transfer-Encoding: \x0bchunked\r\n\r\n0\r\n\r\n",
+		plain + "A: b\r\n folded\r\nContent-Length: 0\r\n\r\n",
+		plain + "A: b\nContent-Length: 0\r\n\r\n",
+		plain + "A: b\rC: d\r\nContent-Length: 0\r\n\r\n",
+		plain + "A: b\x00\r\nContent-Length: 0\r\n\r\n",
+		plain + "Host: other\r\nContent-Length: 0\r\n\r\n",
+		"POST /order HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+		"POST /order HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST /order  HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+		plain + "Transfer-Encoding: chunked\r\n\r\n4\nabcd\r\n0\r\n\r\n",
+		plain + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcdef\r\n0\r\n\r\n",
+		plain + "Transfer-Encoding: chunked\r\n\r\n+4\r\nabcd\r\n0\r\n\r\n",
+		"POST /../order HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+		"POST /%2e%2e/order HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+		"POST /order#x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+		"CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n\r\n",
+	} {
+		for _, before := range []string{"", "GET /first HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"} {
+			_, br := s.dial(t, before+request)
+			if before != "" {
+				resp, err := http.ReadResponse(br, nil)
+				assert.NilError(t, err)
+				io.Copy(io.Discard, resp.Body)
+			}
+			resp, err := http.ReadResponse(br, nil)
+			assert.NilError(t, err, "%q", request)
+			assert.Equal(t, resp.StatusCode, http.StatusBadRequest, "%q", request)
+			assert.Equal(t, outcome(resp), OutcomeNotRun, "%q", request)
+		}
+	}
+	assert.Equal(t, b.count("/order"), 0)
+}
+
+// Guards against wrong framing of well-formed requests that follow each other.
+func TestPipelinedRequestsKeepTheirBoundaries(t *testing.T) {
+	s := newSite(t, nil, newBackend(t))
+	_, br := s.dial(t, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: v\r\n\r\n"+
+		"POST /b HTTP/1.1\r\nHost: h\r\ncontent-length: 2\r\n\r\nde\r\nGET http://h/c?d HTTP/1.1\r\nHost: h\r\n\r\n")
+	for _, want := range []string{"/a abc", "/b de", "/c?d "} {
+		resp, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		body, _ := io.ReadAll(resp.Body)
+		assert.Equal(t, string(body), want)
+	}
+}
+
+// Guards against a wrong status or outcome of the gateway's own refusals.
+func TestRefusals(t *testing.T) {
+	b := newBackend(t)
+	verdict := func(v claims.Verdict) func(*site) { return func(s *site) { s.registry.verdict = &v } }
+	for _, c := range []struct {
+		name, path, body string
+		header           []string
+		change           func(*site)
+		status           int
+		outcome          Outcome
+		retryAfter       string
+	}{
+		{name: "no service", path: "/x", change: func(s *site) { s.config.Services[0].PathPrefix = "/y" }, status: 404, outcome: OutcomeNotRun},
+		{name: "body too long", path: "/short", body: "01234567890", status: 413, outcome: OutcomeNotRun},
+		{name: "invalid deadline", path: "/x", header: []string{HeaderDeadline, "soon"}, status: 400, outcome: OutcomeNotRun},
+		{name: "deadline passed", path: "/x", header: []string{HeaderDeadline, "0"}, status: 503, outcome: OutcomeNotRun, retryAfter: "1"},
+		{name: "shed", path: "/x", change: func(s *site) { s.dispatcher.targets = nil }, status: 503, outcome: OutcomeNotRun, retryAfter: "2"},
+		{name: "view expired", path: "/x", change: func(s *site) { s.dispatcher.invalid = func() bool { return true } }, status: 503, outcome: OutcomeNotRun, retryAfter: "1"},
+		{name: "key seen", path: "/x", change: verdict(claims.VerdictSeen), status: 409, outcome: OutcomeUnknown},
+		{name: "key unknown", path: "/x", change: verdict(claims.VerdictUnknown), status: 503, outcome: OutcomeUnknown, retryAfter: "1"},
+		{name: "claim table full", path: "/x", change: verdict(claims.VerdictFull), status: 503, outcome: OutcomeNotRun, retryAfter: "1"},
+		{name: "empty key", path: "/x", header: []string{HeaderIdempotencyKey, ""}, status: 400, outcome: OutcomeNotRun},
+		{name: "long customer", path: "/x", header: []string{HeaderCustomer, strings.Repeat("c", 257)}, status: 400, outcome: OutcomeNotRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t, nil, b)
+			if c.change != nil {
+				c.change(s)
+			}
+			if c.header == nil {
+				c.header = []string{HeaderIdempotencyKey, "k1"}
+			}
+			resp, _, _ := send(t, "POST", s.url+c.path, c.body, c.header...)
+			assert.Equal(t, resp.StatusCode, c.status)
+			assert.Equal(t, outcome(resp), c.outcome)
+			assert.Equal(t, resp.Header.Get("Retry-After"), c.retryAfter)
+			_, kept := s.registry.seen.Load(claims.Key{Service: "orders", Value: "k1"})
+			assert.Assert(t, !kept, "the claim of a request that was not run was kept")
+		})
+	}
+	assert.Equal(t, b.count("/x"), 0)
+}
+
+// Guards against a deadline that is not shrunk or not enforced.
+func TestDeadlineIsPassedOnAndEnforced(t *testing.T) {
+	b := newBackend(t)
+	defer close(b.release)
+	s := newSite(t, nil, b)
+	_, _, err := send(t, "GET", s.url+"/x", "", HeaderDeadline, "400")
+	assert.NilError(t, err)
+	ms, err := strconv.Atoi(b.header.Get(HeaderDeadline))
+	assert.NilError(t, err)
+	assert.Assert(t, ms > 0 && ms <= 400)
+	b.set(answersLate)
+	for _, method := range []string{"GET", "POST"} {
+		resp, _, _ := send(t, method, s.url+"/short", "")
+		assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout)
+		assert.Equal(t, outcome(resp), OutcomeUnknown)
+	}
+	assert.Equal(t, b.count("/short"), 2)
+}
+
+// Guards against a slow sender that holds a slot or never ends.
+func TestSlowSenderIsTimedOutBeforeAdmission(t *testing.T) {
+	s := newSite(t, func(o *Options) { o.SlowSenderLimit = 20 * time.Millisecond }, newBackend(t))
+	_, br := s.dial(t, "POST /order HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab")
+	resp, err := http.ReadResponse(br, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+	assert.Equal(t, outcome(resp), OutcomeNotRun)
+	assert.Equal(t, len(s.dispatcher.requests), 0)
+}
+
+// Guards against unbounded memory and against bytes that are never given back.
+func TestBufferedBytesAreBounded(t *testing.T) {
+	s := newSite(t, func(o *Options) { o.MaxBufferedBytes = 100_000 }, newBackend(t))
+	for range 3 {
+		resp, _, _ := send(t, "POST", s.url+"/x", strings.Repeat("x", 100_001))
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, outcome(resp), OutcomeNotRun)
+		resp, _, _ = send(t, "POST", s.url+"/x", strings.Repeat("x", 100_000))
+		assert.Equal(t, outcome(resp), OutcomeAnswered)
+	}
+	assert.Equal(t, s.buffered.used.Load(), int64(0))
+}
+
+// Guards against a long answer that looks complete although it was cut off or
+// is longer than declared.
+func TestDisturbedLongAnswersAreAborted(t *testing.T) {
+	b := newBackend(t)
+	s := newSite(t, nil, b)
+	for _, f := range []fault{streamsTruncated, streamsOverlong} {
+		b.set(f)
+		_, body, err := send(t, "GET", s.url+"/x", "")
+		assert.ErrorContains(t, err, "EOF")
+		assert.Assert(t, len(body) < longAnswerBytes)
+	}
+	b.set(answers)
+	_, answer, err := send(t, "POST", s.url+"/x", strings.Repeat("y", 900_000))
+	assert.NilError(t, err)
+	assert.Equal(t, answer, "/x "+strings.Repeat("y", 900_000))
+	assert.DeepEqual(t, s.dispatcher.results, []routing.Result{routing.ResultBroken, routing.ResultBroken, routing.ResultAnswered})
+	assert.Equal(t, s.InFlight("vm0", 1), 0)
+}
+
+// Guards against a caller that receives another caller's answer.
+func TestInterleavedRequestsGetTheirOwnAnswers(t *testing.T) {
+	s := newSite(t, nil, newBackend(t), newBackend(t))
+	var wg sync.WaitGroup
+	for worker := range 64 {
+		wg.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for i := range 50 {
+				body := strings.Repeat(fmt.Sprint(worker, "."), 1+i*i)
+				resp, err := client.Post(fmt.Sprintf("%s/w%d-%d", s.url, worker, i), "", strings.NewReader(body))
+				if !assert.Check(t, err) {
+					return
+				}
+				answer, err := io.ReadAll(resp.Body)
+				assert.Check(t, err)
+				assert.Check(t, string(answer) == fmt.Sprintf("/w%d-%d %s", worker, i, body))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against a prefix that matches part of a path segment or loses to a
+// shorter one.
+func TestLongestPrefixMatchesWholeSegments(t *testing.T) {
+	s := newSite(t, nil)
+	s.config.Services = append(s.config.Services, fleet.Service{Name: "deep", PathPrefix: "/short/deep/"})
+	for path, want := range map[string]fleet.ServiceName{
+		"/short": "short", "/short/": "short", "/shorter": "orders", "/short/deep": "short", "/short/deep/x": "deep",
+	} {
+		assert.Equal(t, s.routes().match(path).Name, want, path)
+	}
+}
--- /dev/null
+++ b/gateway/shutdown_test.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a shutdown that cuts off a request in progress or leaves
+// readiness on.
+func TestShutdownWaitsForRequestsInProgress(t *testing.T) {
+	b := newBackend(t)
+	b.set(answersLate)
+	s := newSite(t, nil, b)
+	handedOver := make(chan struct{})
+	server, url := s.serve(t, ServerOptions{ListenerOpen: time.Millisecond, BeforeDrain: func(context.Context) error {
+		close(handedOver)
+		return nil
+	}})
+	answered := make(chan Outcome)
+	go func() {
+		resp, _, _ := send(t, "POST", url+"/order", "")
+		answered <- outcome(resp)
+	}()
+	for s.InFlight("vm0", 1) == 0 || b.count("/order") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	down := make(chan error)
+	go func() { down <- server.Shutdown(t.Context()) }()
+	<-handedOver
+	assert.Assert(t, !s.Ready())
+	assert.Equal(t, s.InFlight("vm0", 1), 1)
+	select {
+	case err := <-down:
+		t.Fatal("shutdown returned with a request in progress", err)
+	default:
+	}
+	close(b.release)
+	assert.Equal(t, <-answered, OutcomeAnswered)
+	assert.NilError(t, <-down)
+	assert.Equal(t, s.InFlight("vm0", 1), 0)
+}
+
+// Guards against failed requests while a process leaves under load. Callers
+// move to another process when the readiness endpoint reports not ready.
+func TestDrainUnderLoadLosesNothing(t *testing.T) {
+	b := newBackend(t)
+	leaving, staying := newSite(t, nil, b), newSite(t, nil, b)
+	server, url := leaving.serve(t, ServerOptions{ListenerOpen: 300 * time.Millisecond})
+	var served, moved atomic.Int64
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for range 32 {
+		wg.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			target := url
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if target == url && get(t, client, url+ReadyPath) == http.StatusServiceUnavailable {
+					target = staying.url
+					moved.Add(1)
+				}
+				if assert.Check(t, get(t, client, target+"/order") == http.StatusOK) {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	for served.Load() < 500 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, server.Shutdown(t.Context()))
+	close(stop)
+	wg.Wait()
+	assert.Equal(t, moved.Load(), int64(32))
+	assert.Equal(t, int64(b.count("/order")), served.Load())
+}
+
+// get returns the status, or 0 when the request failed.
+func get(t *testing.T, client *http.Client, url string) int {
+	resp, err := client.Get(url)
+	if !assert.Check(t, err) {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.Check(t, err)
+	assert.Check(t, outcome(resp) != "")
+	return resp.StatusCode
+}
