Wire the entry process and add the platform stand-in's command

The entry process joins gateway, routing, control loop, plan driver and administration API. Claims and the command line are still missing; nothing has run end to end yet.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -17,7 +17,7 @@
 	adopted := *config
 	c.config = &adopted
 	c.dirty = true
-	c.options.Log.Record(eventlog.ConfigApplied, eventlog.Fields{"config_version": adopted.Version})
+	c.options.Log.Record(eventlog.ConfigInForce, eventlog.Fields{"config_version": adopted.Version})
 }
 
 // configurationPushed is a configuration that a peer or this process has accepted.
--- a/control/controller.go
+++ b/control/controller.go
@@ -156,14 +156,16 @@
 func (c *Controller) publish() {
 	snapshot := c.snapshot()
 	view := c.tracker.View()
-	_, settled := c.tracker.WaitUntilAllLapsed(c.options.Now())
+	wait, known := c.tracker.WaitUntilAllLapsed(c.options.Now())
 	next := &State{
 		Self: c.self, Fleet: snapshot, Members: view, MembersVersion: c.rows.membersVersion,
-		Config: c.config, ConfigVersion: c.rows.configVersion, InView: c.tracker.InView(), Settled: settled,
+		Config: c.config, ConfigVersion: c.rows.configVersion, InView: c.tracker.InView(), Settled: known && wait == 0,
 		Peers: c.copyPeers(), StoreReachable: c.reachable, StoreRead: c.readAt,
 	}
-	c.state.Store(next)
+	// The traffic side comes first: a drain query that sees the new revision in
+	// the state may rely on its being used for routing.
 	c.options.Traffic.SetView(snapshot, view, c.self)
+	c.state.Store(next)
 }
 
 // snapshot joins the VM rows with what the VM list and peers say about leaving VMs.
--- /dev/null
+++ b/control/receive.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/peer/peerpb"
+)
+
+// ErrNotMember means that a heartbeat came from a process that the member view does not hold.
+var ErrNotMember = errors.New("sender is not in the member view")
+
+// ReceiveHeartbeat takes in a peer's heartbeat and returns the reply.
+func (c *Controller) ReceiveHeartbeat(ctx context.Context, m *peerpb.Heartbeat) (*peerpb.Heartbeat, error) {
+	reply := make(chan *peerpb.Heartbeat, 1)
+	c.send(ctx, heartbeatReceived{message: m, reply: reply})
+	answer, err := receive(ctx, reply)
+	if err == nil && answer == nil {
+		return nil, ErrNotMember
+	}
+	return answer, err
+}
+
+// ReceiveRowsRequest returns the rows that a peer lacks.
+func (c *Controller) ReceiveRowsRequest(ctx context.Context, m *peerpb.RowsRequest) (*peerpb.RowsPush, error) {
+	reply := make(chan *peerpb.RowsPush, 1)
+	c.send(ctx, rowsRequested{since: m.GetSince(), reply: reply})
+	return receive(ctx, reply)
+}
+
+func receive[T any](ctx context.Context, reply <-chan T) (T, error) {
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		var none T
+		return none, ctx.Err()
+	}
+}
+
+// ReceiveConfiguration takes in a configuration that a peer has accepted.
+func (c *Controller) ReceiveConfiguration(ctx context.Context, m *peerpb.ConfigPush) error {
+	var config fleet.Configuration
+	if err := json.Unmarshal(m.GetDocument(), &config); err != nil {
+		return fmt.Errorf("decode configuration %d: %w", m.GetVersion(), err)
+	}
+	if config.Version != m.GetVersion() {
+		return fmt.Errorf("configuration %d is labelled %d", config.Version, m.GetVersion())
+	}
+	c.send(ctx, configurationPushed{config: config})
+	return nil
+}
+
+// ReceiveDrainQuery returns the revision that this process routes by and its
+// requests in flight to a VM, in this order: a request that an older revision
+// let pass is then still counted.
+func (c *Controller) ReceiveDrainQuery(m *peerpb.DrainQuery) *peerpb.DrainReply {
+	revision := c.State().Fleet.Revision
+	if revision < m.GetFleetRevision() {
+		c.Refresh()
+	}
+	return &peerpb.DrainReply{
+		FleetRevision: revision,
+		InFlight:      uint32(c.options.Traffic.InFlight(fleet.VMID(m.GetVm()), m.GetGeneration())),
+	}
+}
+
+// QueryDrain asks a member, which may be this process.
+func (c *Controller) QueryDrain(ctx context.Context, member fleet.MemberID, query *peerpb.DrainQuery) (*peerpb.DrainReply, error) {
+	if member == c.options.Self.ID {
+		return c.ReceiveDrainQuery(query), nil
+	}
+	return c.options.Peers.QueryDrain(ctx, member, query)
+}
--- /dev/null
+++ b/peridotcrank/entry/process.go
@@ -0,0 +1,268 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"peridotcrank.dev/admin"
+	"peridotcrank.dev/claims"
+	"peridotcrank.dev/control"
+	"peridotcrank.dev/control/environment"
+	"peridotcrank.dev/control/operations"
+	"peridotcrank.dev/control/peering"
+	"peridotcrank.dev/control/plans"
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/eventlog/metrics"
+	"peridotcrank.dev/exchange"
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/gateway"
+	"peridotcrank.dev/peer"
+	"peridotcrank.dev/routing"
+	"peridotcrank.dev/settings"
+	"peridotcrank.dev/store"
+)
+
+// Process is an entry process.
+type Process struct {
+	settings   settings.Settings
+	log        *eventlog.Log
+	metrics    *metrics.Metrics
+	table      *store.Client
+	platform   *store.HTTPPlatform
+	node       *peer.Node
+	router     *routing.Router
+	claims     claims.Registry
+	exchange   *exchange.Pooled
+	controller *control.Controller
+	driver     *plans.Driver
+	gateway    *gateway.Gateway
+	callers    *gateway.Server
+	admin      *http.Server
+}
+
+// New builds a process from settings. It listens for peers, but does nothing else before Run.
+func New(s settings.Settings) (*Process, error) {
+	p := &Process{settings: s}
+	steps := []struct {
+		name  string
+		build func() error
+	}{
+		{"log", p.buildLog},
+		{"store client", p.buildStore},
+		{"peers", p.buildPeers},
+		{"traffic", p.buildTraffic},
+		{"control loop", p.buildControl},
+		{"gateway", p.buildGateway},
+		{"administration API", p.buildAdmin},
+	}
+	for _, step := range steps {
+		if err := step.build(); err != nil {
+			return nil, fmt.Errorf("build %s: %w", step.name, err)
+		}
+	}
+	return p, nil
+}
+
+func (p *Process) self() fleet.Member {
+	return fleet.Member{
+		ID: p.settings.Member, Zone: p.settings.Zone,
+		PeerAddress: p.settings.Listen.Peers.String(), AdminAddress: p.settings.Listen.Admin.String(),
+	}
+}
+
+func (p *Process) buildLog() (err error) {
+	p.metrics, err = metrics.New()
+	if err != nil {
+		return err
+	}
+	p.log, err = eventlog.New(logOptions(p.settings))
+	return err
+}
+
+func (p *Process) buildStore() (err error) {
+	base, member := p.settings.Platform.URL, string(p.settings.Member)
+	p.table, err = store.New(base, member, store.Options{
+		RequestTimeout: p.settings.Platform.Timeout, WritesPerSecond: float64(p.settings.Platform.WritesPerSecond),
+	})
+	if err != nil {
+		return err
+	}
+	p.platform, err = store.NewHTTPPlatform(base, member, p.settings.Platform.Timeout)
+	return err
+}
+
+func (p *Process) buildPeers() (err error) {
+	p.node, err = peer.NewNode(peer.Config{Self: p.self(), Clock: p.log.Clock(), OnSession: p.recordSession})
+	return err
+}
+
+func (p *Process) recordSession(e peer.SessionEvent) {
+	code, fields := eventlog.PeerConnected, eventlog.Fields{"peer": e.Member}
+	if !e.Connected {
+		code = eventlog.PeerDisconnected
+		fields["error"] = fmt.Sprint(e.Err)
+	}
+	p.log.Record(code, fields)
+}
+
+func (p *Process) buildTraffic() (err error) {
+	p.router = routing.New(routing.Options{})
+	p.exchange, err = exchange.New(exchange.Options{
+		DialTimeout: p.settings.Timeouts.Dial, ResponseBufferSize: int(p.settings.Limits.ResponseBuffer),
+	})
+	return err
+}
+
+func (p *Process) buildControl() (err error) {
+	p.controller, err = control.New(control.Options{
+		Self: p.self(), Table: p.table, Platform: p.platform, Peers: peering.New(p.node), Traffic: p.router,
+		Log: p.log, Poll: p.settings.Platform.PollInterval, OnMembers: p.adoptMembers,
+	})
+	if err != nil {
+		return err
+	}
+	peering.Serve(p.node, p.controller)
+	p.router.SetValidity(p.controller.Valid)
+	p.driver, err = plans.NewDriver(plans.Options{
+		Self: p.settings.Member, Table: control.NewCachedTable(p.controller),
+		Environment: environment.New(p.controller, p.platform),
+		OnAction:    p.recordAction,
+	})
+	return err
+}
+
+// adoptMembers divides the connections of each worker between the members.
+func (p *Process) adoptMembers(view fleet.MemberView, _ fleet.Member) {
+	if n := len(view.Members); n > 0 {
+		p.exchange.SetConnectionLimit(max(1, connectionsPerWorker/n))
+	}
+}
+
+// connectionsPerWorker is the number of connections that a worker accepts from all entry processes.
+const connectionsPerWorker = 64
+
+func (p *Process) recordAction(a plans.Action, err error) {
+	fields := eventlog.Fields{"plan": a.Plan, "step": a.String()}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	p.log.Record(eventlog.MoveStep, fields)
+}
+
+func (p *Process) buildGateway() (err error) {
+	p.gateway, err = gateway.New(gateway.Options{
+		Dispatcher: p.router, Claims: p.claims, Exchange: p.exchange, Configuration: p.controller,
+		Ready: p.ready, Observe: p.observe, SlowSenderLimit: p.settings.Timeouts.ReadBody,
+	})
+	if err != nil {
+		return err
+	}
+	p.callers, err = gateway.NewServer(p.gateway, gateway.ServerOptions{
+		ReadHeaderTimeout: p.settings.Timeouts.ReadHeader, IdleTimeout: p.settings.Timeouts.Idle,
+		MaxHeaderBytes: int(p.settings.Limits.HeaderBytes), ListenerOpen: p.settings.Timeouts.Drain,
+	})
+	return err
+}
+
+// ready reports whether callers may be sent to this process.
+func (p *Process) ready() bool {
+	return p.controller.Valid() && p.controller.Configuration() != nil
+}
+
+func (p *Process) buildAdmin() error {
+	backend := operations.New(operations.Options{
+		Controller: p.controller, Table: control.NewCachedTable(p.controller), Log: p.log, Now: control.BootTime,
+	})
+	server, err := admin.NewServer(admin.Options{
+		Process: p.settings.Member, Backend: backend, Operators: p.settings.Operators, Recorder: p.log,
+	})
+	if err != nil {
+		return err
+	}
+	p.admin = admin.NewHTTPServer(server)
+	return nil
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	p.log.Record(eventlog.ProcessStarted, eventlog.Fields{"zone": p.settings.Zone})
+	listeners, err := p.listen()
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	p.node.Start()
+	controlDone := make(chan struct{})
+	go func() { defer close(controlDone); p.controller.Run(background) }()
+	go p.driver.Run(background)
+	go p.collect(background)
+
+	failed := make(chan error, 3)
+	go func() { failed <- named("serve callers", p.callers.Serve(listeners.callers)) }()
+	go func() { failed <- named("serve administration", p.admin.Serve(listeners.admin)) }()
+	go func() { failed <- named("serve metrics", p.serveMetrics(listeners.metrics)) }()
+	select {
+	case err := <-failed:
+		p.log.Record(eventlog.ProcessFailed, eventlog.Fields{"error": err.Error()})
+		return err
+	case <-ctx.Done():
+	}
+	err = p.stop()
+	cancel()
+	<-controlDone
+	return errors.Join(err, p.node.Close())
+}
+
+type listeners struct {
+	callers, admin, metrics net.Listener
+}
+
+func (p *Process) listen() (l listeners, err error) {
+	for _, item := range []struct {
+		into *net.Listener
+		at   netip.AddrPort
+	}{
+		{&l.callers, p.settings.Listen.Callers},
+		{&l.admin, p.settings.Listen.Admin},
+		{&l.metrics, p.settings.Listen.Metrics},
+	} {
+		if *item.into, err = net.Listen("tcp", item.at.String()); err != nil {
+			return l, fmt.Errorf("listen: %w", err)
+		}
+	}
+	return l, nil
+}
+
+// stop drains the process: callers first, then the member view.
+func (p *Process) stop() error {
+	p.log.Record(eventlog.ProcessStopping, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Timeouts.Stop)
+	defer cancel()
+	err := named("drain callers", p.callers.Shutdown(ctx))
+	err = errors.Join(err, named("leave the member view", p.controller.Leave(ctx)))
+	err = errors.Join(err, named("stop administration", p.admin.Shutdown(ctx)))
+	code := eventlog.ProcessStopped
+	if err != nil {
+		code = eventlog.ProcessStopForced
+	}
+	p.log.Record(code, eventlog.Fields{"error": fmt.Sprint(err)})
+	return err
+}
+
+func named(step string, err error) error {
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", step, err)
+}
+
+func (p *Process) serveMetrics(l net.Listener) error {
+	server := &http.Server{Handler: p.metrics.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	return server.Serve(l)
+}
--- a/testbed/backend/server.go
+++ b/testbed/backend/server.go
@@ -21,6 +21,8 @@
 	HeaderRequest = "Testbed-Request"
 )
 
+const probePath = "/"
+
 // Mode is the behaviour of a VM's backend server.
 type Mode string
 
@@ -131,6 +133,9 @@
 
 // ServeHTTP runs one request in a slot and echoes its identity.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == probePath {
+		return // A probe runs nothing and is not recorded.
+	}
 	if s.mode.Load() == ModeError {
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
--- a/testbed/main.go
+++ b/testbed/main.go
@@ -20,6 +20,7 @@
 			os.Exit(2)
 		}
 	}
+	add("platform", "Run the platform: table service, VM list and reboots", &platformCommand{})
 	add("backend", "Run the backend servers of a site's VMs", &backendCommand{})
 	add("load", "Send a site's load to entry processes", &loadCommand{})
 	add("verify", "Compare what callers saw with what backend servers ran", &verifyCommand{})
--- /dev/null
+++ b/testbed/platform_command.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/store/storetest"
+	"peridotcrank.dev/testbed/backend"
+	"peridotcrank.dev/testbed/platform"
+	"peridotcrank.dev/testbed/site"
+)
+
+type platformCommand struct {
+	Site       string        `long:"site" default:"quokka" description:"quokka or castwork"`
+	BasePort   int           `long:"base-port" default:"21000" description:"first port of the backend servers"`
+	Listen     string        `long:"listen" default:"127.0.0.1:20001" description:"IP:port of the platform"`
+	Control    string        `long:"control" default:"127.0.0.1:20002" description:"control endpoint of the backend servers"`
+	ListLag    time.Duration `long:"list-lag" default:"1s" description:"lag of the VM list"`
+	RebootTime time.Duration `long:"reboot-time" default:"1s" description:"duration of a reboot"`
+}
+
+// Execute serves the table service, the VM list and reboots until the process ends.
+func (c *platformCommand) Execute([]string) error {
+	s, err := site.ByName(c.Site)
+	if err != nil {
+		return err
+	}
+	table := storetest.New()
+	vms := s.VMs(c.BasePort)
+	if err := platform.Seed(table, seed(s, vms)); err != nil {
+		return fmt.Errorf("seed the table: %w", err)
+	}
+	handler := platform.New(platform.Options{
+		Table: table, VMs: vms, ListLag: c.ListLag, RebootTime: c.RebootTime, OnReboot: c.restart,
+	})
+	server := &http.Server{Addr: c.Listen, Handler: handler, ReadHeaderTimeout: headerTimeout}
+	if err := server.ListenAndServe(); err != nil {
+		return fmt.Errorf("serve platform: %w", err)
+	}
+	return nil
+}
+
+func seed(s site.Site, vms []fleet.VM) *fleet.Snapshot {
+	snapshot := &fleet.Snapshot{VMs: make(map[fleet.VMID]fleet.VM), Pools: make(map[fleet.PoolID]fleet.Pool)}
+	for _, vm := range vms {
+		snapshot.VMs[vm.ID] = vm
+	}
+	for _, pool := range s.Pools {
+		snapshot.Pools[pool.ID] = fleet.Pool{ID: pool.ID, Capacity: pool.Workers, Spare: pool.ID == s.Spare}
+	}
+	return snapshot
+}
+
+// restart takes the backend server of a VM down for the time of a reboot.
+func (c *platformCommand) restart(vm fleet.VMID, up bool) {
+	mode := backend.ModeDown
+	if up {
+		mode = backend.ModeOK
+	}
+	body, err := json.Marshal(backend.ModeRequest{Mode: mode})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "testbed:", err)
+		return
+	}
+	response, err := http.Post("http://"+c.Control+"/v1/vms/"+string(vm)+"/mode", "application/json", bytes.NewReader(body))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "testbed: reboot of", vm, err)
+		return
+	}
+	_ = response.Body.Close()
+}
