--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -45,6 +45,7 @@
 // Errors that *Error wraps, besides those of the connection and the context.
 var (
 	ErrClosed = errors.New("client is closed")
+	ErrMethod = errors.New("request method is not a token")
 	// ErrTarget reports a request target that is not in origin form.
 	ErrTarget = errors.New("request target is not in origin form")
 	// ErrOverlong reports bytes after the declared end of the response.
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -18,6 +18,9 @@
 
 func newOutgoing(req *Request) (*outgoing, error) {
 	out := &outgoing{}
+	if !isToken(req.Method) {
+		return nil, fmt.Errorf("%w: %q", ErrMethod, req.Method)
+	}
 	if err := setTarget(&out.url, req.Target); err != nil {
 		return nil, err
 	}
@@ -37,6 +40,19 @@
 	return out, nil
 }
 
+// isToken reports whether s is a token (RFC 9110, section 5.6.2).
+// http.Request.Write does not check the method.
+func isToken(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		alphanumeric := '0' <= c && c <= '9' || 'A' <= c && c <= 'Z' || 'a' <= c && c <= 'z'
+		if !alphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
 // rewind sets the body to its beginning.
 func (out *outgoing) rewind(req *Request) {
 	if len(req.Body) == 0 {
