Add the move state machine, the plan driver and the operators' calls

A move is derived from the VM row, the step and the evidence alone, so that any process can continue it. Confirming a plan reserves its VM and pool rows in the confirming transaction; two plans that share one of them conflict on its version, and the loser is told the winning plan and step. Reserving only the plan row was ruled out, because plans that share a VM would both pass.

A driver's transaction has the plan row's version as a condition. A pause, takeover, renewal or cancellation thus invalidates what was decided before. One transaction per plan and tick carries all rows, which keeps the number of writes low.

The storetest client keeps its circuit breaker closed: an open breaker made the end of a scripted fault show late.

--- /dev/null
+++ b/control/plans/admin.go
@@ -0,0 +1,203 @@
+package plans
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/fleet/planner"
+	"peridotcrank.dev/store"
+)
+
+// Errors of Admin.
+var (
+	// ErrNotFound means that a plan does not exist.
+	ErrNotFound = errors.New("plan not found")
+	// ErrExists means that an intent with this ID exists.
+	ErrExists = errors.New("intent exists")
+	// ErrState means that a plan's state does not permit the call.
+	ErrState = errors.New("not possible in this state of the plan")
+)
+
+// changeAttempts bounds the attempts to change a plan row that its driver
+// changes at the same time.
+const changeAttempts = 20
+
+// Admin offers the operators' calls. It may be used concurrently.
+type Admin struct {
+	Table   store.Table
+	Planner planner.Options
+}
+
+// CreateIntent plans for an intent and stores both. It assigns the intent's ID
+// when it is empty. An intent that cannot be met gives a *planner.UnmetError,
+// and nothing is stored.
+func (a *Admin) CreateIntent(ctx context.Context, s *fleet.Snapshot, intent fleet.Intent) (fleet.Plan, error) {
+	if intent.ID == "" {
+		intent.ID = fleet.IntentID(uuid.NewString())
+	}
+	if strings.ContainsAny(string(intent.ID), "/ ") {
+		return fleet.Plan{}, fmt.Errorf("intent ID %q contains a slash or a space", intent.ID)
+	}
+	plan, err := planner.Plan(s, intent, a.Planner)
+	if err != nil {
+		return fleet.Plan{}, err
+	}
+	result, err := a.commit(ctx, []row{{fleet.IntentKey(intent.ID), 0, intent}, {fleet.PlanKey(plan.ID), 0, plan}})
+	if err != nil {
+		return fleet.Plan{}, fmt.Errorf("create intent %s: %w", intent.ID, err)
+	}
+	if !result.Applied() {
+		return fleet.Plan{}, fmt.Errorf("create intent %s: %w", intent.ID, ErrExists)
+	}
+	plan.Version = result.Revision
+	return plan, nil
+}
+
+// Confirm confirms a proposed plan and reserves its VMs and pools in one
+// transaction, on condition that none of its rows has changed since it was
+// computed. Otherwise it returns a *RefusedError.
+func (a *Admin) Confirm(ctx context.Context, id fleet.PlanID) (fleet.Plan, error) {
+	for range changeAttempts {
+		s, err := LoadSnapshot(ctx, a.Table)
+		if err != nil {
+			return fleet.Plan{}, fmt.Errorf("confirm plan %s: %w", id, err)
+		}
+		plan, ok := s.Plans[id]
+		if !ok {
+			return fleet.Plan{}, fmt.Errorf("confirm plan %s: %w", id, ErrNotFound)
+		}
+		if plan.State != fleet.PlanProposed {
+			return plan, fmt.Errorf("confirm plan %s, which is %s: %w", id, plan.State, ErrState)
+		}
+		if refused := refusal(s, plan); refused != nil {
+			return plan, refused
+		}
+		plan.State = fleet.PlanConfirmed
+		result, err := a.commit(ctx, confirmation(s, plan))
+		if err != nil {
+			return plan, fmt.Errorf("confirm plan %s: %w", id, err)
+		}
+		if result.Applied() {
+			plan.Version = result.Revision
+			return plan, nil
+		}
+		// A row has changed meanwhile. The next round names it.
+	}
+	return fleet.Plan{}, fmt.Errorf("confirm plan %s: its rows keep changing", id)
+}
+
+// confirmation returns the rows that reserve the plan's VMs and pools.
+func confirmation(s *fleet.Snapshot, plan fleet.Plan) []row {
+	rows := []row{{fleet.PlanKey(plan.ID), plan.Version, plan}}
+	for _, p := range plan.Preconditions {
+		if id, ok := strings.CutPrefix(p.Key, fleet.PrefixPool); ok {
+			if pool := s.Pools[fleet.PoolID(id)]; !pool.Spare {
+				pool.Plan = plan.ID
+				rows = append(rows, row{p.Key, p.Version, pool})
+			} else {
+				rows = append(rows, row{p.Key, p.Version, nil})
+			}
+		}
+		if id, ok := strings.CutPrefix(p.Key, fleet.PrefixVM); ok {
+			vm := s.VMs[fleet.VMID(id)]
+			vm.Plan = plan.ID
+			rows = append(rows, row{p.Key, p.Version, vm})
+		}
+	}
+	return rows
+}
+
+// Reject ends a proposed plan.
+func (a *Admin) Reject(ctx context.Context, id fleet.PlanID, reason string) (fleet.Plan, error) {
+	return a.change(ctx, "reject", id, func(plan *fleet.Plan) bool {
+		if plan.State != fleet.PlanProposed {
+			return false
+		}
+		plan.State, plan.Reason = fleet.PlanRejected, reason
+		return true
+	})
+}
+
+// Cancel ends a proposed plan, or asks the driver of a confirmed or blocked one
+// to return its VMs to service.
+func (a *Admin) Cancel(ctx context.Context, id fleet.PlanID, reason string) (fleet.Plan, error) {
+	return a.change(ctx, "cancel", id, func(plan *fleet.Plan) bool {
+		switch plan.State {
+		case fleet.PlanProposed:
+			plan.State = fleet.PlanCancelled
+		case fleet.PlanConfirmed, fleet.PlanBlocked:
+			plan.State = fleet.PlanCancelling
+			for i := range plan.Moves {
+				plan.Moves[i].Failed = ""
+			}
+		default:
+			return false
+		}
+		plan.Renewal++
+		plan.Reason = reason
+		return true
+	})
+}
+
+// change changes a plan row on condition of its version. It tries again when
+// the row has changed, for example by the renewal of a lease.
+func (a *Admin) change(ctx context.Context, verb string, id fleet.PlanID, edit func(*fleet.Plan) bool) (fleet.Plan, error) {
+	for range changeAttempts {
+		plan, err := a.plan(ctx, id)
+		if err != nil {
+			return plan, fmt.Errorf("%s plan %s: %w", verb, id, err)
+		}
+		state := plan.State
+		if !edit(&plan) {
+			return plan, fmt.Errorf("%s plan %s, which is %s: %w", verb, id, state, ErrState)
+		}
+		result, err := a.commit(ctx, []row{{fleet.PlanKey(id), plan.Version, plan}})
+		if err != nil {
+			return plan, fmt.Errorf("%s plan %s: %w", verb, id, err)
+		}
+		if result.Applied() {
+			plan.Version = result.Revision
+			return plan, nil
+		}
+	}
+	return fleet.Plan{}, fmt.Errorf("%s plan %s: its row keeps changing", verb, id)
+}
+
+func (a *Admin) plan(ctx context.Context, id fleet.PlanID) (fleet.Plan, error) {
+	snap, err := a.Table.Read(ctx, fleet.PlanKey(id), 0)
+	if err != nil {
+		return fleet.Plan{}, err
+	}
+	var found fleet.Snapshot
+	if err := apply(&found, fleet.PrefixPlan, snap.Rows); err != nil {
+		return fleet.Plan{}, err
+	}
+	plan, ok := found.Plans[id]
+	if !ok {
+		return plan, ErrNotFound
+	}
+	return plan, nil
+}
+
+// commit writes rows on condition of their versions; 0 means that the row must
+// not exist. A row without a value is only a condition.
+func (a *Admin) commit(ctx context.Context, rows []row) (store.Result, error) {
+	tx := store.Transaction{Priority: store.PriorityOperator}
+	for _, r := range rows {
+		tx.Conditions = append(tx.Conditions, store.Condition{Key: r.key, Version: r.version})
+		if r.value == nil {
+			continue
+		}
+		w, err := store.Put(r.key, r.value)
+		if err != nil {
+			return store.Result{}, err
+		}
+		tx.Writes = append(tx.Writes, w)
+	}
+	return a.Table.Commit(ctx, tx)
+}
--- /dev/null
+++ b/control/plans/admin_test.go
@@ -0,0 +1,104 @@
+package plans
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/fleet/fleettest"
+	"peridotcrank.dev/fleet/planner"
+	"peridotcrank.dev/store"
+	"peridotcrank.dev/store/storetest"
+	"peridotcrank.dev/testbed/platform"
+)
+
+func newAdmin(t *testing.T) (*Admin, *storetest.Table) {
+	t.Helper()
+	table := storetest.New()
+	assert.NilError(t, platform.Seed(table, fleettest.Fleet(fleettest.WASouth())))
+	return &Admin{Table: table.Client("admin")}, table
+}
+
+func create(t *testing.T, a *Admin, intent fleet.Intent) fleet.Plan {
+	t.Helper()
+	s, err := LoadSnapshot(context.Background(), a.Table)
+	assert.NilError(t, err)
+	plan, err := a.CreateIntent(context.Background(), s, intent)
+	assert.NilError(t, err)
+	return plan
+}
+
+// Guards against two operators who both win, or both lose, and against a
+// refusal that does not name the conflicting plan and step.
+func TestSimultaneousConfirmations(t *testing.T) {
+	for range 20 {
+		a, _ := newAdmin(t)
+		plans := []fleet.Plan{
+			create(t, a, fleet.Intent{ID: "grow", Kind: fleet.IntentPoolCapacity, Pool: "counterdesk", Capacity: 16}),
+			create(t, a, fleet.Intent{ID: "rack", Kind: fleet.IntentEmptyRack, Rack: "rack-0002"}),
+		}
+		errs := make([]error, len(plans))
+		var both sync.WaitGroup
+		for i, plan := range plans {
+			both.Go(func() { _, errs[i] = a.Confirm(context.Background(), plan.ID) })
+		}
+		both.Wait()
+		loser := 0
+		if errs[0] == nil {
+			loser = 1
+		}
+		assert.NilError(t, errs[1-loser])
+		var refused *RefusedError
+		assert.Assert(t, errors.As(errs[loser], &refused), "%v", errs[loser])
+		for _, c := range refused.Changes {
+			assert.Equal(t, c.Conflict, plans[1-loser].ID)
+			assert.Assert(t, c.Step >= 0)
+			assert.DeepEqual(t, c.Move, plans[1-loser].Moves[c.Step])
+		}
+	}
+}
+
+// Guards against a refusal that blames a plan when a row has merely changed.
+func TestRefusalNamesTheChange(t *testing.T) {
+	a, table := newAdmin(t)
+	plan := create(t, a, fleet.Intent{ID: "i", Kind: fleet.IntentPoolCapacity, Pool: "webshop", Capacity: 12})
+	key := fleet.VMKey(plan.Moves[0].VM)
+	table.Apply(store.Transaction{Writes: []store.Write{store.Delete(key)}})
+	_, err := a.Confirm(context.Background(), plan.ID)
+	assert.Error(t, err, "plan plan-i refused: "+key+" is gone")
+}
+
+// Guards against intents and plans that are stored twice, changed in the wrong
+// state, or reported as stored when they are not.
+func TestAdminStates(t *testing.T) {
+	a, table := newAdmin(t)
+	ctx := context.Background()
+	intent := fleet.Intent{ID: "i", Kind: fleet.IntentPoolCapacity, Pool: "webshop", Capacity: 12}
+	plan := create(t, a, intent)
+	s, err := LoadSnapshot(ctx, a.Table)
+	assert.NilError(t, err)
+	_, err = a.CreateIntent(ctx, s, intent)
+	assert.Assert(t, errors.Is(err, ErrExists))
+	_, err = a.Reject(ctx, plan.ID, "not now")
+	assert.NilError(t, err)
+	_, err = a.Confirm(ctx, plan.ID)
+	assert.Assert(t, errors.Is(err, ErrState))
+	_, err = a.Cancel(ctx, plan.ID, "")
+	assert.Assert(t, errors.Is(err, ErrState))
+	_, err = a.Confirm(ctx, "plan-other")
+	assert.Assert(t, errors.Is(err, ErrNotFound))
+	var unmet *planner.UnmetError
+	_, err = a.CreateIntent(ctx, s, fleet.Intent{ID: "j", Kind: fleet.IntentPoolCapacity, Pool: "webshop", Capacity: 100})
+	assert.Assert(t, errors.As(err, &unmet))
+	table.SetFaults(storetest.Fault{Kind: storetest.Down})
+	_, err = a.CreateIntent(ctx, s, fleet.Intent{ID: "k", Kind: fleet.IntentPoolCapacity, Pool: "webshop", Capacity: 12})
+	assert.Assert(t, errors.Is(err, store.ErrOutcomeUnknown) || errors.Is(err, store.ErrUnavailable), "%v", err)
+	table.SetFaults()
+	s, err = LoadSnapshot(ctx, a.Table)
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.Intents), 1)
+}
--- /dev/null
+++ b/control/plans/step.go
@@ -0,0 +1,201 @@
+package plans
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/fleet/move"
+	"peridotcrank.dev/store"
+)
+
+// Step returns the next actions of this process. For each plan that it drives
+// there is at most one transaction, and acts on VMs that the transaction does not write.
+func Step(now time.Time, v View) []Action {
+	v.Limits = v.Limits.WithDefaults()
+	var actions []Action
+	var serving map[fleet.PoolID]int
+	for _, plan := range drivenPlans(v.Snapshot) {
+		if !v.holds(plan) {
+			actions = append(actions, v.acquire(plan)...)
+			continue
+		}
+		if serving == nil {
+			serving = servingByPool(v.Snapshot)
+		}
+		d := driving{view: v, now: now, plan: plan, serving: serving}
+		actions = append(actions, d.actions()...)
+	}
+	return actions
+}
+
+// drivenPlans returns the plans that need a driver, by ID.
+func drivenPlans(s *fleet.Snapshot) []fleet.Plan {
+	return slices.SortedFunc(func(yield func(fleet.Plan) bool) {
+		for plan := range maps.Values(s.Plans) {
+			if plan.State.Driven() && !yield(plan) {
+				return
+			}
+		}
+	}, func(a, b fleet.Plan) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// servingByPool counts the VMs that may be sent requests.
+func servingByPool(s *fleet.Snapshot) map[fleet.PoolID]int {
+	n := make(map[fleet.PoolID]int, len(s.Pools))
+	for _, vm := range s.VMs {
+		if vm.Routable() {
+			n[vm.Pool]++
+		}
+	}
+	return n
+}
+
+// driving computes the actions on one plan whose lease this process holds.
+type driving struct {
+	view    View
+	now     time.Time
+	plan    fleet.Plan
+	serving map[fleet.PoolID]int // Shared by the plans of one Step.
+
+	limits  widths
+	failing bool
+	rows    []row
+	next    *fleet.Plan
+	acts    []Action
+	reasons []string
+}
+
+func (d *driving) actions() []Action {
+	d.limits = newWidths(d.plan, d.view.Snapshot)
+	d.failing = slices.ContainsFunc(d.plan.Moves, func(m fleet.MoveStep) bool { return m.Failed != "" })
+	waiting := 0
+	for i := range d.plan.Moves {
+		if !d.step(i) {
+			waiting++
+		}
+	}
+	if d.next == nil && len(d.rows) == 0 && len(d.acts) == 0 {
+		d.end(waiting)
+	}
+	if d.next == nil && d.view.renewDue(d.now, d.plan) {
+		d.planRow()
+		d.reasons = append(d.reasons, "renew the lease")
+	}
+	return d.collect()
+}
+
+func (d *driving) collect() []Action {
+	if d.next == nil && len(d.rows) == 0 {
+		return d.acts
+	}
+	priority := store.PriorityProgress
+	if d.next != nil {
+		// Progress that is not recorded in time would cost the lease.
+		priority = store.PrioritySafety
+	}
+	action, err := d.view.commit(d.plan, d.next, d.rows, priority, strings.Join(d.reasons, "; "))
+	if err != nil {
+		return d.acts
+	}
+	return append([]Action{action}, d.acts...)
+}
+
+// step adds the next decision on one move. It reports whether the step needs
+// nothing more from the driver: it is done, failed, or held back by a failure.
+func (d *driving) step(i int) (settled bool) {
+	m := d.plan.Moves[i]
+	if m.Done || m.Failed != "" {
+		return true
+	}
+	vm, ok := d.view.Snapshot.VMs[m.VM]
+	if !ok {
+		d.missing(i)
+		return false
+	}
+	in := d.input(m, vm)
+	in.MayStart = d.mayStart(m, vm)
+	decision := move.Next(in)
+	d.take(i, vm, decision, in.MayStart)
+	idle := decision.Write == nil && decision.Act == move.ActNone && decision.Failed == ""
+	return idle && d.failing && vm.Phase == fleet.PhaseServing && vm.Plan == d.plan.ID
+}
+
+// missing handles a VM without a row: there is nothing to return to service.
+func (d *driving) missing(i int) {
+	if d.plan.State == fleet.PlanCancelling {
+		d.planRow().Moves[i].Done = true
+		return
+	}
+	d.fail(i, "VM "+string(d.plan.Moves[i].VM)+" does not exist")
+}
+
+func (d *driving) input(m fleet.MoveStep, vm fleet.VM) move.Input {
+	in := move.Input{
+		VM: vm, Step: m, Plan: d.plan.ID, Cancel: d.plan.State == fleet.PlanCancelling,
+		Evidence: d.view.Evidence[m.VM], Limits: d.view.Limits.Move,
+	}
+	if seen, ok := d.view.Seen[fleet.VMKey(m.VM)]; ok && seen.Version == vm.Version {
+		since := seen.Since
+		if state := d.view.Seen[fleet.PlanKey(d.plan.ID)].State; state.After(since) {
+			since = state
+		}
+		in.Unchanged = d.now.Sub(since)
+	}
+	return in
+}
+
+func (d *driving) take(i int, vm fleet.VM, decision move.Decision, started bool) {
+	if decision.Write != nil {
+		d.rows = append(d.rows, row{fleet.VMKey(vm.ID), vm.Version, *decision.Write})
+		d.reasons = append(d.reasons, string(vm.ID)+" "+string(decision.Write.Phase)+": "+decision.Reason)
+		if started && decision.Write.Phase == fleet.PhaseDraining {
+			d.limits.start(vm)
+			if vm.Routable() {
+				d.serving[vm.Pool]--
+			}
+		}
+	}
+	if decision.Done {
+		d.planRow().Moves[i].Done = true
+	}
+	if decision.Failed != "" {
+		d.fail(i, decision.Failed)
+	}
+	if decision.Act != move.ActNone && d.now.Sub(d.view.Acted[vm.ID]) >= d.view.Limits.Poll {
+		d.acts = append(d.acts, Action{Plan: d.plan.ID, Act: decision.Act, VM: vm, Reason: decision.Reason})
+	}
+}
+
+func (d *driving) fail(i int, reason string) {
+	d.planRow().Moves[i].Failed = reason
+	d.reasons = append(d.reasons, reason)
+}
+
+// planRow returns the next plan row, which renews the lease.
+func (d *driving) planRow() *fleet.Plan {
+	if d.next == nil {
+		next := d.plan
+		next.Moves = slices.Clone(d.plan.Moves)
+		next.Renewal++
+		d.next = &next
+	}
+	return d.next
+}
+
+// mayStart reports whether a VM may start to drain now.
+func (d *driving) mayStart(m fleet.MoveStep, vm fleet.VM) bool {
+	if d.failing || d.plan.State != fleet.PlanConfirmed || vm.Phase != fleet.PhaseServing {
+		return false
+	}
+	if slices.ContainsFunc(m.After, func(j int) bool { return j >= len(d.plan.Moves) || !d.plan.Moves[j].Done }) {
+		return false
+	}
+	if floor, ok := d.plan.Floors[vm.Pool]; ok && vm.Routable() && d.serving[vm.Pool]-1 < floor {
+		return false
+	}
+	return d.limits.room(vm)
+}
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -57,6 +57,8 @@
 	Reboot     bool   `json:"reboot"`
 	Reason     string `json:"reason"`
 	Done       bool   `json:"done"`
+	// Failed says why the step cannot go on without an operator.
+	Failed string `json:"failed,omitempty"`
 	// After lists the indices of the steps that must be done before this one starts.
 	After []int `json:"after,omitempty"`
 }
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -35,6 +35,8 @@
 	Plan PlanID `json:"plan,omitempty"`
 	// Operation identifies the reboot in progress, so that repeating it is safe.
 	Operation string `json:"operation,omitempty"`
+	// Attempt is the number of the reboot in progress within the move, from 1.
+	Attempt int `json:"attempt,omitempty"`
 
 	// Version is the row's version in the table service. It is not stored in the row.
 	Version uint64 `json:"-"`
@@ -43,6 +45,17 @@
 	Leaving bool `json:"-"`
 }
 
+// RebootState is the state of a reboot operation on the platform.
+type RebootState string
+
+// States of a reboot operation.
+const (
+	RebootUnknown RebootState = "" // The platform does not know the operation.
+	RebootRunning RebootState = "running"
+	RebootDone    RebootState = "done"
+	RebootFailed  RebootState = "failed"
+)
+
 // Routable reports whether new requests may be sent to the VM.
 func (v VM) Routable() bool { return v.Phase == PhaseServing && !v.Leaving }
 
--- a/store/client.go
+++ b/store/client.go
@@ -241,7 +241,7 @@
 func through[T any](c *Client, send func() (T, error)) (T, error) {
 	v, err := c.breaker.Execute(func() (any, error) { return send() })
 	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
-		err = errors.Join(ErrNotSent, err)
+		err = fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	t, _ := v.(T)
 	return t, err
--- a/store/http.go
+++ b/store/http.go
@@ -89,7 +89,7 @@
 func (t *HTTPTransport) Commit(ctx context.Context, tx Transaction) (Result, error) {
 	body, err := json.Marshal(tx)
 	if err != nil {
-		return Result{}, fmt.Errorf("encode transaction: %w", errors.Join(ErrInvalid, ErrNotSent, err))
+		return Result{}, fmt.Errorf("encode transaction: %w: %w", ErrInvalid, err)
 	}
 	res, err := t.send(ctx, http.MethodPost, "/v1/commit", body, nil)
 	if err != nil {
@@ -127,7 +127,7 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, t.base+path, reader)
 	if err != nil {
-		return nil, errors.Join(ErrNotSent, err)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	for k, v := range header {
 		req.Header[k] = v
@@ -140,7 +140,7 @@
 	}
 	res, err := t.http.Do(req)
 	if err != nil && dialFailed(err) {
-		return nil, errors.Join(ErrNotSent, err)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return res, err
 }
@@ -164,7 +164,7 @@
 	text, _ := io.ReadAll(io.LimitReader(res.Body, 256))
 	err := fmt.Errorf("status %d: %s", res.StatusCode, bytes.TrimSpace(text))
 	if res.StatusCode == http.StatusBadRequest {
-		return errors.Join(ErrInvalid, err)
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	return err
 }
--- a/store/platform.go
+++ b/store/platform.go
@@ -32,14 +32,14 @@
 }
 
 // RebootState is the state of a reboot operation.
-type RebootState string
+type RebootState = fleet.RebootState
 
 // States of a reboot operation.
 const (
-	RebootUnknown RebootState = "" // The platform does not know the operation.
-	RebootRunning RebootState = "running"
-	RebootDone    RebootState = "done"
-	RebootFailed  RebootState = "failed"
+	RebootUnknown = fleet.RebootUnknown
+	RebootRunning = fleet.RebootRunning
+	RebootDone    = fleet.RebootDone
+	RebootFailed  = fleet.RebootFailed
 )
 
 // VMList is the platform's VM list, which lags behind the VMs.
--- a/store/storetest/client.go
+++ b/store/storetest/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"strconv"
 	"time"
 
@@ -24,7 +25,9 @@
 func (t *Table) Client(client string) *store.Client {
 	c, err := store.NewClient(t.Transport(client), store.Options{
 		WritesPerSecond: 1e6, WriteBurst: 1e6, RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond,
-		ResolutionBudget: 50 * time.Millisecond, BreakerOpen: time.Millisecond, RecoveryRamp: time.Nanosecond,
+		ResolutionBudget: 50 * time.Millisecond, RecoveryRamp: time.Nanosecond,
+		// The breaker stays closed, so that the end of a scripted fault shows at once.
+		BreakerFailures: math.MaxUint32,
 	})
 	if err != nil {
 		panic(err) // The options above are constants.
