--- /dev/null
+++ b/admin/admintest/doc.go
@@ -0,0 +1,2 @@
+// Package admintest provides an in-memory [admin.Backend] for tests.
+package admintest
--- a/admin/backend.go
+++ b/admin/backend.go
@@ -9,15 +9,16 @@
 
 // Backend carries out the verbs of the API. Its methods are safe for
 // concurrent use and return promptly when ctx ends. An error that is an
-// *Error goes to the operator as it is; any other error is reported with
-// code [CodeInternal] and its text goes to the log only.
+// *Error goes to the operator as it is; the text of any other error
+// goes to the log only, and the operator gets [CodeInternal] for a read and
+// [CodeOutcomeUnknown] for a write.
 //
 // Returned slices belong to the caller. Lists need no order; the server sorts
 // and pages them.
 type Backend interface {
-	// CreateIntent records an intent and returns its proposed plan. The
-	// intent comes without ID and Operator, which Write.Operation and
-	// Write.Operator determine.
+	// CreateIntent records an intent and returns its proposed plan. The intent
+	// comes without ID; IDs are derived from Write.Operation, so that a
+	// repetition yields the same ones.
 	CreateIntent(ctx context.Context, w Write, intent fleet.Intent) (fleet.Plan, error)
 	Intents(ctx context.Context) ([]fleet.Intent, error)
 
@@ -58,8 +59,10 @@
 	Operator string
 	// RequestID is the operator's Request-Id.
 	RequestID string
-	// Operation is a UUID derived from the operator, the Request-Id and the
-	// route. A repetition has the same one at each entry process, so it serves
-	// as the identity of the transaction in the table service.
+	// Operation is a UUID derived from the operator, the Request-Id, the path
+	// and the body. A repetition has the same one at each entry process, so it
+	// serves as the identity of the transaction in the table service. The body
+	// is part of it, since another change under the same Request-Id must not
+	// be taken for one that was applied.
 	Operation string
 }
--- a/admin/errors.go
+++ b/admin/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 
 	"peridotcrank.dev/fleet"
@@ -88,3 +89,6 @@
 	err := fmt.Errorf(format, args...)
 	return &Error{Code: code, Step: step, Message: err.Error(), Cause: errors.Unwrap(err)}
 }
+
+// Statuses returns the HTTP status of each code.
+func Statuses() map[ErrorCode]int { return maps.Clone(statuses) }
--- a/admin/types.go
+++ b/admin/types.go
@@ -123,6 +123,9 @@
 	MaxPageSize    = 1000    // Items of a page.
 	DefaultPage    = 100     // Items of a page without "limit".
 	MaxReasonBytes = 1024    // Reason of a rejection or cancellation.
+	MaxIDBytes     = 128     // Identifiers and the Request-Id.
+	MaxTokenBytes  = 512     // Bearer token.
+	MaxCapacity    = 100_000 // VMs of a pool.
 	// MaxWatch bounds one request to watch a plan; the default is the same.
 	MaxWatch = 30 * time.Second
 )
--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -119,6 +119,7 @@
 	AdminTokenExpiring  Code = 8009
 	AdminListenFault    Code = 8010
 	AdminRequestInvalid Code = 8011
+	AdminReadFailed     Code = 8012
 )
 
 // Codes of the process, 9000 to 9999.
@@ -233,6 +234,7 @@
 	{AdminTokenExpiring, "admin-token-expiring", LevelWarning, "An operator's token expires soon."},
 	{AdminListenFault, "admin-listen-fault", LevelAlarm, "The listener of the administration API failed."},
 	{AdminRequestInvalid, "admin-request-invalid", LevelInfo, "A request to the administration API could not be decoded."},
+	{AdminReadFailed, "admin-read-failed", LevelWarning, "A read of the administration API failed because of an internal fault."},
 
 	{ProcessStarted, "process-started", LevelInfo, "The entry process started."},
 	{ProcessReady, "process-ready", LevelInfo, "The entry process has configuration and a valid view and serves callers."},
