--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -47,7 +47,7 @@
 
 // New builds a process from settings. It listens for peers, but does nothing else before Run.
 func New(s settings.Settings) (*Process, error) {
-	p := &Process{settings: s}
+	p := &Process{settings: s, claims: &localClaims{}}
 	steps := []struct {
 		name  string
 		build func() error
