Detach exchanges from the caller's connection and bound slow readers

A caller that disconnected cancelled the exchange of its idempotent request. The slot was then released although the backend server may still run the request, and a wave of cancellations would have looked like failures of backend servers. Exchanges now end by answer, failure or deadline only; a queued request is still given up with its caller.

Every answer gets a write deadline, and the request body is freed before the answer is written. A caller that stops reading a streamed answer no longer counts against the backend server.

--- a/exchange/hopbyhop.go
+++ b/exchange/hopbyhop.go
@@ -12,8 +12,9 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// removeHopByHop removes the fields named by Connection and those of hopByHop.
-func removeHopByHop(h http.Header) {
+// RemoveHopByHop removes the fields that apply to one connection only: those
+// that Connection names and the fixed ones.
+func RemoveHopByHop(h http.Header) {
 	for _, list := range h["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
 			if name = strings.TrimSpace(name); name != "" {
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -28,7 +28,7 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	removeHopByHop(header)
+	RemoveHopByHop(header)
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // Keeps http.Request.Write from adding its own.
 	}
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -43,7 +43,7 @@
 // readBody buffers the body up to the limit and leaves a longer one to Rest.
 func (cn *conn) readBody(ctx context.Context, watch watch, head *http.Response) (*Response, error) {
 	limit := int64(cn.pool.client.options.ResponseBufferSize)
-	removeHopByHop(head.Header)
+	RemoveHopByHop(head.Header)
 	resp := &Response{Status: head.StatusCode, Header: head.Header}
 	var err error
 	switch {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -17,7 +17,7 @@
 	// streamChunkBytes is the size of the two buffers of a streamed answer.
 	streamChunkBytes = 32 << 10
 	// smallAnswerBytes is the size up to which an answer is expected to fit into
-	// the send buffer of a connection, so that no slow reader can delay it.
+	// the send buffer of a connection. Only larger ones count as buffered bytes.
 	smallAnswerBytes = 32 << 10
 )
 
@@ -25,6 +25,7 @@
 
 // answer passes the response of a backend server on to the caller.
 func (c *call) answer(resp *exchange.Response) *refusal {
+	c.body.release() // No further attempt needs it.
 	if resp.Rest != nil {
 		return c.stream(resp)
 	}
@@ -32,10 +33,12 @@
 	if c.r.Method != http.MethodHead && resp.Status != http.StatusNoContent && resp.Status != http.StatusNotModified {
 		h["Content-Length"] = []string{strconv.Itoa(len(resp.Body))}
 	}
-	if len(resp.Body) > smallAnswerBytes {
-		c.writeLarge(resp)
-		return nil
+	if size := int64(len(resp.Body)); size > smallAnswerBytes {
+		c.g.buffered.add(size)
+		defer c.g.buffered.remove(size)
 	}
+	// The next request on the connection gets a new write deadline from net/http.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(c.g.options.SlowReaderLimit)) // Unsupported only by test recorders.
 	c.w.WriteHeader(resp.Status)
 	_, c.err = c.w.Write(resp.Body)
 	return nil
@@ -52,22 +55,6 @@
 	return h
 }
 
-// writeLarge writes a buffered answer that a slow reader may delay.
-func (c *call) writeLarge(resp *exchange.Response) {
-	size := int64(len(resp.Body))
-	c.g.buffered.add(size)
-	defer c.g.buffered.remove(size)
-	control := http.NewResponseController(c.w)
-	_ = control.SetWriteDeadline(time.Now().Add(c.g.options.SlowReaderLimit)) // Unsupported only by test recorders.
-	c.w.WriteHeader(resp.Status)
-	if _, c.err = c.w.Write(resp.Body); c.err == nil {
-		c.err = control.Flush()
-	}
-	if c.err == nil {
-		_ = control.SetWriteDeadline(time.Time{})
-	}
-}
-
 // stream passes on a response that exceeds the buffer. A failure aborts the
 // connection to the caller, so that the answer never looks complete.
 func (c *call) stream(resp *exchange.Response) *refusal {
@@ -76,15 +63,16 @@
 		return unknown(http.StatusBadGateway, errNoChunks.Error(), errNoChunks)
 	}
 	c.answerHeader(resp)
-	control := http.NewResponseController(c.w)
-	_ = control.SetWriteDeadline(c.deadline) // Unsupported only by test recorders.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline) // Unsupported only by test recorders.
 	c.w.WriteHeader(resp.Status)
 	if c.err = c.copyBody(resp); c.err == nil {
-		c.err = control.Flush()
-		_ = control.SetWriteDeadline(time.Time{})
 		return nil
 	}
-	c.endAttempt(routing.ResultBroken)
+	result := resultOf(resp.Status) // The caller went away or reads too slowly.
+	if _, ok := errors.AsType[*exchange.Error](c.err); ok {
+		result = routing.ResultBroken
+	}
+	c.endAttempt(result)
 	c.aborted = true
 	panic(http.ErrAbortHandler)
 }
--- a/gateway/backend_test.go
+++ b/gateway/backend_test.go
@@ -52,8 +52,7 @@
 }
 
 func newBackend(t testing.TB) *backend {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := listen(t)
 	b := &backend{Listener: l, next: answers, arrivals: map[string]int{}, release: make(chan struct{}), closed: make(chan struct{}, 1)}
 	t.Cleanup(func() { l.Close() })
 	go func() {
@@ -68,6 +67,12 @@
 	return b
 }
 
+func listen(t testing.TB) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
 func (b *backend) set(f fault) { b.mu.Lock(); b.next = f; b.mu.Unlock() }
 
 func (b *backend) fault() fault { b.mu.Lock(); defer b.mu.Unlock(); return b.next }
@@ -139,6 +144,7 @@
 type dispatcher struct {
 	targets []routing.Target
 	invalid func() bool
+	full    bool // Requests wait until their context ends.
 
 	mu       sync.Mutex
 	results  []routing.Result
@@ -149,6 +155,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.requests = append(d.requests, r)
+	if d.full {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if len(d.targets) == 0 {
 		return nil, &routing.ShedError{Step: "admission", Reason: routing.ShedQueueFull, RetryAfter: 1500 * time.Millisecond}
 	}
@@ -209,13 +219,17 @@
 
 func (s *site) Configuration() *fleet.Configuration { return &s.config }
 
+func newConfiguration() fleet.Configuration {
+	return fleet.Configuration{Services: []fleet.Service{
+		{Name: "orders", PathPrefix: "/", Pool: "webshop", Timeout: 5 * time.Second},
+		{Name: "short", PathPrefix: "/short", Pool: "webshop", Timeout: 50 * time.Millisecond, MaxBodyBytes: 10},
+	}}
+}
+
 // newSite starts a server in front of backend servers in racks of their own.
 func newSite(t testing.TB, change func(*Options), backends ...*backend) *site {
 	s := &site{dispatcher: &dispatcher{}, registry: &registry{}}
-	s.config.Services = []fleet.Service{
-		{Name: "orders", PathPrefix: "/", Pool: "webshop", Timeout: 5 * time.Second},
-		{Name: "short", PathPrefix: "/short", Pool: "webshop", Timeout: 50 * time.Millisecond, MaxBodyBytes: 10},
-	}
+	s.config = newConfiguration()
 	for i, b := range backends {
 		s.dispatcher.targets = append(s.dispatcher.targets, routing.Target{
 			VM: fleet.VMID(fmt.Sprint("vm", i)), Generation: 1, Address: b.Addr().String(), Rack: fleet.RackID(fmt.Sprint("rack", i)),
@@ -237,8 +251,7 @@
 func (s *site) serve(t testing.TB, o ServerOptions) (*Server, string) {
 	server, err := NewServer(s.Gateway, o)
 	assert.NilError(t, err)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := listen(t)
 	go server.Serve(l)
 	t.Cleanup(func() { server.http.Close() })
 	return server, "http://" + l.Addr().String()
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -61,8 +61,7 @@
 }
 
 func accept(tb testing.TB, serve func(net.Conn)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(tb, err)
+	l := listen(tb)
 	tb.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -82,8 +81,7 @@
 		Rewrite:   func(r *httputil.ProxyRequest) { r.SetURL(target) },
 		Transport: &http.Transport{MaxIdleConns: 1024, MaxIdleConnsPerHost: 1024, DisableCompression: true},
 	}}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(tb, err)
+	l := listen(tb)
 	go server.Serve(l)
 	tb.Cleanup(func() { server.Close() })
 	return l.Addr().String()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -30,9 +30,10 @@
 	bodyRead   bool
 	claimed    *claims.Key // The claim to release when the request is not run.
 
-	// exchangeContext bounds the exchanges by the deadline. That of a
-	// non-idempotent request outlives the caller's connection: cancelling it
-	// would not undo the request, and the slot is in use until it ends.
+	// exchangeContext bounds the exchanges by the deadline. It outlives the
+	// caller's connection: the backend server may go on after a cancellation, so
+	// its slot is in use until the exchange ends, and a wave of cancellations
+	// must not look like failures of the backend servers.
 	exchangeContext context.Context
 
 	// State of the attempts.
@@ -66,12 +67,9 @@
 	if ref := c.claim(ctx); ref != nil {
 		return ref
 	}
-	c.exchangeContext = ctx
-	if !c.idempotent {
-		detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
-		defer cancel()
-		c.exchangeContext = detached
-	}
+	detached, cancelExchanges := context.WithDeadline(context.WithoutCancel(c.r.Context()), c.deadline)
+	defer cancelExchanges()
+	c.exchangeContext = detached
 	return c.dispatch(ctx)
 }
 
--- /dev/null
+++ b/gateway/callers_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/exchange"
+	"peridotcrank.dev/routing"
+)
+
+// pipes is a listener whose connections are in memory, for use with fake time.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	if nc, ok := <-p; ok {
+		return nc, nil
+	}
+	return nil, net.ErrClosed
+}
+func (p pipes) Close() error   { return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// withCaller runs a test in fake time with one caller's connection, on which
+// the request was sent.
+func withCaller(t *testing.T, method, body string, f fault, run func(s *site, b *backend, caller net.Conn, ended chan Observation)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &backend{next: f, arrivals: map[string]int{}, release: make(chan struct{})}
+		s := &site{dispatcher: &dispatcher{targets: []routing.Target{{VM: "vm0"}}}, registry: &registry{}}
+		s.config = newConfiguration()
+		client, err := exchange.New(exchange.Options{Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go b.serve(far)
+			return near, nil
+		}})
+		assert.NilError(t, err)
+		ended := make(chan Observation, 1)
+		s.Gateway, err = New(Options{Dispatcher: s.dispatcher, Claims: s.registry, Exchange: client, Configuration: s,
+			Observe: func(o Observation) { ended <- o }})
+		assert.NilError(t, err)
+		server, err := NewServer(s.Gateway, ServerOptions{})
+		assert.NilError(t, err)
+		listener := make(pipes)
+		go server.Serve(listener)
+		caller, far := net.Pipe()
+		listener <- far
+		s.dispatcher.full = method == "QUEUED"
+		_, err = fmt.Fprintf(caller, "%s / HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\nContent-Length: %d\r\n\r\n%s", method, len(body), body)
+		assert.NilError(t, err)
+		synctest.Wait()
+		run(s, b, caller, ended)
+		caller.Close()
+		client.Close()
+		close(listener)
+		server.http.Close()
+	})
+}
+
+// Guards against a slot that is held by a caller who does not read, and
+// against one who never ends.
+func TestSlowReaderHoldsNoSlot(t *testing.T) {
+	body := strings.Repeat("x", 100_000)
+	withCaller(t, "GET", body, answers, func(s *site, b *backend, caller net.Conn, ended chan Observation) {
+		assert.Equal(t, s.InFlight("vm0", 0), 0)
+		assert.DeepEqual(t, s.dispatcher.results, []routing.Result{routing.ResultAnswered})
+		assert.Equal(t, s.buffered.used.Load(), int64(len("/ ")+len(body)))
+		time.Sleep(DefaultSlowReaderLimit)
+		assert.Assert(t, (<-ended).Err != nil)
+		answer, err := io.ReadAll(caller)
+		assert.NilError(t, err)
+		assert.Assert(t, len(answer) < len(body))
+		assert.Equal(t, s.buffered.used.Load(), int64(0))
+	})
+}
+
+// Guards against a slot that is released while the backend server still runs
+// the request of a caller who has gone away.
+func TestCallerGoneWhileTheRequestRuns(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		withCaller(t, method, "", answersLate, func(s *site, b *backend, caller net.Conn, ended chan Observation) {
+			caller.Close()
+			synctest.Wait()
+			assert.Equal(t, s.InFlight("vm0", 0), 1)
+			close(b.release)
+			<-ended
+			assert.Equal(t, s.InFlight("vm0", 0), 0)
+			assert.DeepEqual(t, s.dispatcher.results, []routing.Result{routing.ResultAnswered})
+		})
+	}
+}
+
+// Guards against a queued request, and its claim, that outlive the caller.
+func TestCallerGoneWhileQueued(t *testing.T) {
+	withCaller(t, "QUEUED", "", answers, func(s *site, _ *backend, caller net.Conn, ended chan Observation) {
+		caller.Close()
+		assert.Equal(t, (<-ended).Outcome, OutcomeNotRun)
+		s.registry.seen.Range(func(key, _ any) bool { t.Error("claim kept", key); return false })
+	})
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -19,6 +19,7 @@
 func (c *call) dispatch(ctx context.Context) *refusal {
 	c.route.budget.Deposit()
 	header := maps.Clone(c.r.Header)
+	exchange.RemoveHopByHop(header)
 	header.Del("Expect") // The body is buffered, so the backend server has nothing to agree to.
 	for {
 		reservation, err := c.g.options.Dispatcher.Acquire(ctx, c.acquisition())
--- a/gateway/framing/scanner.go
+++ b/gateway/framing/scanner.go
@@ -16,6 +16,9 @@
 // exceeds every header limit of the server.
 const maxLineBytes = 1 << 20
 
+// keptPartialBytes bounds the memory that an idle connection keeps.
+const keptPartialBytes = 4 << 10
+
 // state is the part of a message that comes next.
 type state uint8
 
@@ -69,7 +72,7 @@
 			line = s.partial
 		}
 		err := s.line(line)
-		s.partial = s.partial[:0]
+		s.resetPartial()
 		if err != nil {
 			return pos, err
 		}
@@ -78,6 +81,14 @@
 	return pos, nil
 }
 
+// resetPartial keeps small buffers for the next partial line.
+func (s *scanner) resetPartial() {
+	s.partial = s.partial[:0]
+	if cap(s.partial) > keptPartialBytes {
+		s.partial = nil
+	}
+}
+
 func (s *scanner) dataEnd() {
 	if s.state == stateChunkData {
 		s.state = stateChunkEnd
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -81,6 +81,23 @@
 	assert.Equal(t, b.count("/order"), 0)
 }
 
+// Guards against responses of net/http itself without an outcome.
+func TestResponsesOfNetHTTPCarryTheOutcome(t *testing.T) {
+	s := newSite(t, nil, newBackend(t))
+	for request, status := range map[string]int{
+		"GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 80<<10) + "\r\n\r\n": 431,
+		"GET / HTTP/3.0\r\nHost: h\r\n\r\n":                                           505,
+		"GET / HTTP/1.1\r\nHost: h\r\nExpect: coffee\r\n\r\n":                         417,
+		"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n":                                       404,
+	} {
+		_, br := s.dial(t, request)
+		resp, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, status)
+		assert.Equal(t, outcome(resp), OutcomeNotRun)
+	}
+}
+
 // Guards against wrong framing of well-formed requests that follow each other.
 func TestPipelinedRequestsKeepTheirBoundaries(t *testing.T) {
 	s := newSite(t, nil, newBackend(t))
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -17,6 +17,7 @@
 const (
 	DefaultReadHeaderTimeout = 5 * time.Second
 	DefaultIdleTimeout       = 60 * time.Second
+	DefaultWriteTimeout      = 60 * time.Second
 	DefaultMaxHeaderBytes    = 64 << 10
 	DefaultListenerOpen      = 5 * time.Second
 )
@@ -27,6 +28,9 @@
 	ReadHeaderTimeout time.Duration
 	// IdleTimeout bounds the time that a caller's connection stays idle. Default 60 s.
 	IdleTimeout time.Duration
+	// WriteTimeout bounds the time from a request header to the end of what
+	// net/http itself writes. The gateway sets its own limits for answers. Default 60 s.
+	WriteTimeout time.Duration
 	// MaxHeaderBytes bounds a request header, in bytes. Default 64 KiB.
 	MaxHeaderBytes int
 	// ListenerOpen is the time from turning readiness off to closing the
@@ -44,6 +48,7 @@
 	return errors.Join(
 		notNegative("ReadHeaderTimeout", o.ReadHeaderTimeout),
 		notNegative("IdleTimeout", o.IdleTimeout),
+		notNegative("WriteTimeout", o.WriteTimeout),
 		notNegative("MaxHeaderBytes", o.MaxHeaderBytes),
 		notNegative("ListenerOpen", o.ListenerOpen),
 	)
@@ -52,6 +57,7 @@
 func (o ServerOptions) withDefaults() ServerOptions {
 	setDefault(&o.ReadHeaderTimeout, DefaultReadHeaderTimeout)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&o.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&o.ListenerOpen, DefaultListenerOpen)
 	if o.BeforeDrain == nil {
@@ -83,6 +89,7 @@
 		ConnState:         framing.ConnState,
 		ReadHeaderTimeout: o.ReadHeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
+		WriteTimeout:      o.WriteTimeout,
 		MaxHeaderBytes:    o.MaxHeaderBytes,
 		ErrorLog:          o.ErrorLog,
 		// "OPTIONS *" goes through the gateway, which sets the outcome header.
@@ -91,7 +98,8 @@
 	return s, nil
 }
 
-// Serve accepts connections until Shutdown. It returns nil after Shutdown.
+// Serve accepts connections until Shutdown. It returns nil as soon as the
+// listener is closed; only the return of Shutdown ends the requests in progress.
 func (s *Server) Serve(l net.Listener) error {
 	guarded := framing.NewListener(l, http.Header{HeaderOutcome: {string(OutcomeNotRun)}})
 	if err := s.http.Serve(guarded); !errors.Is(err, http.ErrServerClosed) {
@@ -101,7 +109,7 @@
 }
 
 // Shutdown turns readiness off, keeps the listener open for
-// Options.ListenerOpen, calls BeforeDrain, closes the listener and waits for
+// ServerOptions.ListenerOpen, calls BeforeDrain, closes the listener and waits for
 // the requests in progress. When ctx ends first, the remaining requests are
 // cut off and its error is returned.
 func (s *Server) Shutdown(ctx context.Context) error {
