Assign homes to slots and keep them exclusive through changes

Homes assigns each slot by rendezvous hashing within the worker's availability zone.

Ledger keeps the slots that one process may use. A gained slot waits for the validity of the old view (3 s) and for the longest request that may still run under it (2 s); the validity alone is not enough, since a request sent just before the end of the validity still occupies the slot. A live previous home shortens the wait by handing the slot over. A member that joins waits 7 s, which covers a peer that misses its joining and its eviction.

The model test found two faults while this was written: a handover taken for the return of a loan ended a later loan of the same slot, and a stale timer deleted a worker that had come back. ReturnRequest therefore tells the two apart by the view version, which the SlotReturn message does not carry yet.

--- /dev/null
+++ b/limits/slots/homes_test.go
@@ -0,0 +1,108 @@
+package slots
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"peridotcrank.dev/fleet"
+)
+
+// site returns a site of three availability zones with 8 slots per worker.
+func site(workers, members int) (map[fleet.VMID]fleet.VM, []fleet.Member) {
+	vms := map[fleet.VMID]fleet.VM{}
+	for i := range workers {
+		id := fleet.VMID(fmt.Sprintf("vm-%02d", i))
+		vms[id] = fleet.VM{ID: id, Pool: "p", Zone: zone(i), Slots: 8, Phase: fleet.PhaseServing}
+	}
+	var ms []fleet.Member
+	for i := range members {
+		ms = append(ms, fleet.Member{ID: fleet.MemberID(fmt.Sprintf("entry-%d", i)), Zone: zone(i), Incarnation: 1})
+	}
+	return vms, ms
+}
+
+func zone(i int) fleet.ZoneID { return fleet.ZoneID(string(rune('a' + i%3))) }
+
+func assign(vms map[fleet.VMID]fleet.VM, members []fleet.Member) *Homes {
+	h := NewHomes()
+	for id, vm := range vms {
+		h.PutWorker(id, vm.Zone, vm.Slots)
+	}
+	h.SetMembers(members)
+	return h
+}
+
+// Guards against a change of the hash, which would let two versions of the
+// program disagree on homes, and against homes in another zone.
+func TestHomesAtTodaysSizes(t *testing.T) {
+	want := map[int][]int{
+		3: {136, 128, 128},
+		5: {69, 76, 128, 67, 52},
+		7: {42, 76, 64, 43, 52, 64, 51},
+		9: {42, 55, 47, 43, 39, 42, 51, 34, 39},
+	}
+	for n, counts := range want {
+		vms, members := site(49, n)
+		h, got := assign(vms, members), make([]int, n)
+		for id, vm := range vms {
+			for i := range vm.Slots {
+				home, ok := h.Home(Slot{id, i})
+				assert.Assert(t, ok)
+				assert.Equal(t, home.Zone, vm.Zone)
+				got[home.ID[len(home.ID)-1]-'0']++
+			}
+		}
+		assert.DeepEqual(t, got, counts)
+	}
+}
+
+// Guards against incremental changes that end in another assignment than a
+// computation from scratch, and against moves between unaffected members.
+func TestHomesIncremental(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms, all := site(12, 9)
+		h := NewHomes()
+		for id, vm := range vms {
+			h.PutWorker(id, vm.Zone, vm.Slots)
+		}
+		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			var members []fleet.Member
+			for _, m := range all {
+				if rapid.Bool().Draw(t, string(m.ID)) {
+					m.Zone = zone(rapid.IntRange(0, 2).Draw(t, "zone"))
+					members = append(members, m)
+				}
+			}
+			id := fleet.VMID(fmt.Sprintf("vm-%02d", rapid.IntRange(0, 11).Draw(t, "vm")))
+			if vm, ok := vms[id]; ok && rapid.Bool().Draw(t, "remove") {
+				delete(vms, id)
+				h.RemoveWorker(id)
+			} else {
+				vm = fleet.VM{ID: id, Zone: zone(rapid.IntRange(0, 3).Draw(t, "zone")), Slots: rapid.IntRange(0, 9).Draw(t, "slots")}
+				vms[id] = vm
+				h.PutWorker(id, vm.Zone, vm.Slots)
+			}
+			h.SetMembers(members)
+			fresh := assign(vms, members)
+			for id, vm := range vms {
+				for i := range vm.Slots {
+					got, _ := h.Home(Slot{id, i})
+					want, _ := fresh.Home(Slot{id, i})
+					assert.Equal(t, got, want)
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkHomesJoinAndLeaveAt4100Workers(b *testing.B) {
+	vms, members := site(4100, 27)
+	h := assign(vms, members)
+	for b.Loop() {
+		h.SetMembers(members[1:])
+		h.SetMembers(members)
+	}
+}
--- a/limits/slots/options.go
+++ b/limits/slots/options.go
@@ -26,7 +26,7 @@
 	// process may no longer start new ones. Default 2 s, the default timeout
 	// of a service; it must not be below the longest timeout in use.
 	InFlight time.Duration
-	// Lease is the time for which a slot is lent. Default 500 ms.
+	// Lease is the time for which a slot is lent, at most Validity. Default 500 ms.
 	Lease time.Duration
 }
 
@@ -51,8 +51,8 @@
 		return fmt.Errorf("%w: validity %s is not positive", ErrOptions, o.Validity)
 	case o.InFlight < 0:
 		return fmt.Errorf("%w: in-flight limit %s is negative", ErrOptions, o.InFlight)
-	case o.Lease <= 0:
-		return fmt.Errorf("%w: lease %s is not positive", ErrOptions, o.Lease)
+	case o.Lease <= 0 || o.Lease > o.Validity:
+		return fmt.Errorf("%w: lease %s is not between 0 and the validity %s", ErrOptions, o.Lease, o.Validity)
 	}
 	return nil
 }
--- a/limits/slots/slot.go
+++ b/limits/slots/slot.go
@@ -36,13 +36,15 @@
 	Lease time.Duration
 }
 
-// ReturnRequest gives slots to their home: borrowed slots, or slots that the
-// sender has lost through a change of the member view and no longer uses.
+// ReturnRequest gives slots to their home. It is either a return of borrowed
+// slots (View is 0) or a handover of slots that the sender has lost through a
+// change of the member view and no longer uses (View is not 0). A transport
+// that cannot carry View must drop handovers: taken for a return, a handover
+// would end a later loan of the same slot to the same member.
 type ReturnRequest struct {
 	// From is the sender.
 	From fleet.MemberID
-	// View is the version of the sender's member view. With 0 the request
-	// returns borrowed slots only.
+	// View is the version of the sender's member view in a handover, else 0.
 	View  uint64
 	Slots []Slot
 }
