--- a/store/budget.go
+++ b/store/budget.go
@@ -53,11 +53,11 @@
 }
 
 // Recovered starts the ramp after an outage.
-func (b *Budget) Recovered(now time.Time) {
+func (b *Budget) Recovered() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.recovered = now
-	b.adjust(now)
+	b.recovered = time.Now()
+	b.adjust(b.recovered)
 }
 
 // Waiting returns the number of writes that wait.
--- a/store/client.go
+++ b/store/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,7 +23,13 @@
 
 	mu    sync.Mutex
 	reads map[string]readState // By prefix.
-	spent []string             // Operations whose rows are no longer needed.
+	spent []spentRow           // Operation rows to delete, in order of their commits.
+}
+
+// spentRow is an operation row that may be deleted from a time on.
+type spentRow struct {
+	operation string
+	after     time.Time
 }
 
 // readState remembers the last read of a prefix.
@@ -40,6 +47,10 @@
 // spentPerTransaction is the number of operation rows that one transaction deletes.
 const spentPerTransaction = 4
 
+// fenceRetention is the time for which a fence stays. It is far beyond any
+// delay of a request within the platform.
+const fenceRetention = time.Hour
+
 // NewClient returns a client over transport.
 func NewClient(transport Transport, o Options) (*Client, error) {
 	if err := o.Validate(); err != nil {
@@ -55,7 +66,7 @@
 		},
 		OnStateChange: func(_ string, from, to gobreaker.State) {
 			if to == gobreaker.StateClosed {
-				c.budget.Recovered(time.Now())
+				c.budget.Recovered()
 			}
 		},
 		// A cancelled caller and a malformed request say nothing about the service.
@@ -96,7 +107,7 @@
 	if last.since == since {
 		etag = last.etag
 	}
-	asOf := time.Now()
+	asOf := c.options.Now()
 	rows, err := through(c, func() (Rows, error) { return c.transport.Rows(ctx, prefix, since, etag) })
 	if err != nil {
 		return Snapshot{}, c.readError(prefix, last, err)
@@ -114,14 +125,15 @@
 	return c.reads[prefix]
 }
 
-// remember keeps the tag of an answer without rows, so that repeating the read
-// can be answered "unchanged" without a cached body.
+// remember keeps the time of a read and the tag of an answer without rows, so
+// that repeating the read can be answered "unchanged" without a cached body.
+// Reads of single rows are not remembered, because their number is not bounded.
 func (c *Client) remember(prefix string, since Version, asOf time.Time, rows Rows) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if prefix != "" && isOperationKey(prefix) {
+	if i := strings.IndexByte(prefix, '/'); i >= 0 && i < len(prefix)-1 {
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	state := readState{asOf: asOf, since: since, revision: rows.Revision}
 	if len(rows.Rows) == 0 {
 		state.etag = rows.ETag
@@ -132,7 +144,7 @@
 func (c *Client) readError(prefix string, last readState, err error) error {
 	e := &Error{Step: "read " + prefix, Peer: c.transport.Peer(), Err: fmt.Errorf("%w: %w", ErrUnavailable, err)}
 	if !last.asOf.IsZero() {
-		e.Age = time.Since(last.asOf)
+		e.Age = c.options.Now().Sub(last.asOf)
 	}
 	return e
 }
@@ -142,37 +154,33 @@
 	if tx.Operation == "" {
 		tx.Operation = uuid.NewString()
 	}
-	if err := c.budget.Wait(ctx, tx.Priority); err != nil {
-		return Result{}, c.commitError("wait for the write budget", tx.Operation, fmt.Errorf("%w: %w", ErrBudget, err))
-	}
 	sealed, spent, err := c.seal(tx)
 	if err != nil {
 		return Result{}, c.commitError("commit", tx.Operation, err)
 	}
 	result, err := c.sendUntilSent(ctx, sealed)
+	if err == nil && result.Applied() {
+		c.spend(tx.Operation, 0)
+		return result, nil
+	}
+	c.unspend(spent)
 	switch {
-	case err == nil && result.Outcome == OutcomeRejected && failedOn(result, OperationKey(tx.Operation)):
+	case err == nil && failedOn(result, OperationKey(tx.Operation)):
 		// The operation row exists: the same operation was committed or fenced before.
-		result, err = c.resolve(ctx, tx.Operation)
+		return c.resolve(ctx, tx.Operation)
+	case err == nil:
+		return result, nil
+	case errors.Is(err, ErrBudget), errors.Is(err, ErrInvalid):
+		return Result{}, c.commitError("commit", tx.Operation, err)
 	case errors.Is(err, ErrNotSent):
-		c.unspend(spent)
 		return Result{}, c.commitError("commit", tx.Operation, fmt.Errorf("%w: %w", ErrUnavailable, err))
-	case errors.Is(err, ErrInvalid):
-		return Result{}, c.commitError("commit", tx.Operation, err)
-	case err != nil:
-		return c.resolveAfter(ctx, tx.Operation, err)
-	}
-	if err == nil && result.Applied() {
-		c.spend(tx.Operation)
-	} else {
-		c.unspend(spent)
 	}
-	return result, err
+	return c.resolveAfter(ctx, tx.Operation, err)
 }
 
 // seal adds the operation row, on condition that it does not exist, and the
 // deletion of operation rows whose outcome is known.
-func (c *Client) seal(tx Transaction) (Transaction, []string, error) {
+func (c *Client) seal(tx Transaction) (Transaction, []spentRow, error) {
 	key := OperationKey(tx.Operation)
 	row, err := Put(key, operationRow{Committed: true})
 	if err != nil {
@@ -181,25 +189,47 @@
 	tx.Conditions = append(slices.Clip(tx.Conditions), Condition{Key: key})
 	tx.Writes = append(slices.Clip(tx.Writes), row)
 	spent := c.takeSpent(tx.Operation)
-	for _, operation := range spent {
-		tx.Writes = append(tx.Writes, Delete(OperationKey(operation)))
+	for _, r := range spent {
+		tx.Writes = append(tx.Writes, Delete(OperationKey(r.operation)))
 	}
 	return tx, spent, nil
 }
 
-// sendUntilSent sends tx and repeats it only while it is proven that nothing was sent.
+// sendUntilSent sends tx and repeats it only while it is proven that nothing
+// was sent.
 func (c *Client) sendUntilSent(ctx context.Context, tx Transaction) (Result, error) {
-	return backoff.Retry(ctx, func() (Result, error) {
-		r, err := through(c, func() (Result, error) {
-			ctx, cancel := context.WithTimeout(ctx, c.options.RequestTimeout)
-			defer cancel()
-			return c.transport.Commit(ctx, tx)
-		})
-		if err != nil && !errors.Is(err, ErrNotSent) {
-			err = backoff.Permanent(err)
+	var last error // Retry returns the context's error in place of that of the last attempt.
+	r, err := backoff.Retry(ctx, func() (Result, error) {
+		var r Result
+		r, last = c.sendOnce(ctx, tx)
+		if last != nil && !errors.Is(last, ErrNotSent) {
+			return r, backoff.Permanent(last)
 		}
-		return r, err
+		return r, last
 	}, backoff.WithBackOff(c.backoff()), backoff.WithMaxElapsedTime(c.options.ResolutionBudget))
+	if err != nil {
+		err = last
+	}
+	return r, err
+}
+
+// sendOnce sends tx within the write budget. Each attempt takes its own place in
+// the budget, so that writes that an outage has held back do not arrive together.
+func (c *Client) sendOnce(ctx context.Context, tx Transaction) (Result, error) {
+	if c.breaker.State() == gobreaker.StateOpen {
+		return Result{}, fmt.Errorf("%w: %w", ErrNotSent, gobreaker.ErrOpenState)
+	}
+	if err := c.budget.Wait(ctx, tx.Priority); err != nil {
+		return Result{}, fmt.Errorf("%w: %w", ErrBudget, err)
+	}
+	if err := context.Cause(ctx); err != nil {
+		return Result{}, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return through(c, func() (Result, error) {
+		ctx, cancel := context.WithTimeout(ctx, c.options.RequestTimeout)
+		defer cancel()
+		return c.transport.Commit(ctx, tx)
+	})
 }
 
 // backoff returns an exponential backoff; the library adds a jitter of half the interval.
@@ -213,27 +243,31 @@
 	return &Error{Step: step, Peer: c.transport.Peer(), Operation: operation, Err: err}
 }
 
-func (c *Client) spend(operation string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.spent) < maxSpent {
-		c.spent = append(c.spent, operation)
-	}
+// spend lets later transactions delete an operation row after a delay.
+func (c *Client) spend(operation string, delay time.Duration) {
+	c.unspend([]spentRow{{operation, c.options.Now().Add(delay)}})
 }
 
-func (c *Client) takeSpent(except string) []string {
+func (c *Client) unspend(rows []spentRow) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := min(len(c.spent), spentPerTransaction)
-	taken := slices.Clone(c.spent[:n])
-	c.spent = slices.Delete(c.spent, 0, n)
-	return slices.DeleteFunc(taken, func(o string) bool { return o == except })
+	c.spent = append(c.spent, rows[:min(len(rows), maxSpent-len(c.spent))]...)
 }
 
-func (c *Client) unspend(operations []string) {
-	for _, operation := range operations {
-		c.spend(operation)
-	}
+// takeSpent removes some operation rows that may be deleted now from the list.
+func (c *Client) takeSpent(except string) []spentRow {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Now()
+	var taken []spentRow
+	c.spent = slices.DeleteFunc(c.spent, func(r spentRow) bool {
+		take := len(taken) < spentPerTransaction && r.operation != except && !r.after.After(now)
+		if take {
+			taken = append(taken, r)
+		}
+		return take
+	})
+	return taken
 }
 
 // through passes one request through the circuit breaker. A request that the
--- a/store/http.go
+++ b/store/http.go
@@ -35,10 +35,7 @@
 // "http://10.0.0.5:7000". client names the calling process.
 func NewHTTPTransport(base, client string) (*HTTPTransport, error) {
 	u, err := url.Parse(base)
-	if err != nil {
-		return nil, fmt.Errorf("address of the table service: %w", err)
-	}
-	if u.Scheme == "" || u.Host == "" {
+	if err != nil || u.Scheme == "" || u.Host == "" {
 		return nil, fmt.Errorf("address of the table service: %q is not of the form http://host:port", base)
 	}
 	return &HTTPTransport{base: u.Scheme + "://" + u.Host, client: client, http: newHTTPClient()}, nil
--- a/store/options.go
+++ b/store/options.go
@@ -43,6 +43,8 @@
 	// RetryMin and RetryMax bound the interval between retries, before jitter.
 	// Defaults 50 ms and 1 s.
 	RetryMin, RetryMax time.Duration
+	// Now is the clock of ages. Default time.Now.
+	Now func() time.Time
 }
 
 // Validate reports every negative field.
@@ -72,6 +74,9 @@
 	def(&o.BreakerOpen, DefaultBreakerOpen)
 	def(&o.RetryMin, 50*time.Millisecond)
 	def(&o.RetryMax, time.Second)
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	return o
 }
 
--- a/store/resolve.go
+++ b/store/resolve.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
 
 	"github.com/cenkalti/backoff/v5"
 )
@@ -16,8 +15,6 @@
 	Committed bool `json:"committed"`
 }
 
-func isOperationKey(key string) bool { return strings.HasPrefix(key, PrefixOperation) }
-
 // errAbsent means that the operation row does not exist yet.
 var errAbsent = errors.New("operation row absent")
 
@@ -39,10 +36,19 @@
 // resolve reads the operation row until its outcome is known or the resolution
 // budget is used up.
 func (c *Client) resolve(ctx context.Context, operation string) (Result, error) {
-	r, err := backoff.Retry(ctx, func() (Result, error) { return c.resolveOnce(ctx, operation) },
-		backoff.WithBackOff(c.backoff()), backoff.WithMaxElapsedTime(c.options.ResolutionBudget))
+	var last error
+	r, err := backoff.Retry(ctx, func() (Result, error) {
+		var r Result
+		r, last = c.resolveOnce(ctx, operation)
+		return r, last
+	}, backoff.WithBackOff(c.backoff()), backoff.WithMaxElapsedTime(c.options.ResolutionBudget))
 	if err != nil {
-		return Result{}, c.commitError("resolve the outcome", operation, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err))
+		return Result{}, c.commitError("resolve the outcome", operation, fmt.Errorf("%w: %w", ErrOutcomeUnknown, last))
+	}
+	if r.Applied() {
+		c.spend(operation, 0)
+	} else {
+		c.spend(operation, fenceRetention)
 	}
 	return r, nil
 }
@@ -71,7 +77,7 @@
 		}
 		var op operationRow
 		if err := json.Unmarshal(row.Value, &op); err != nil {
-			return Result{}, backoff.Permanent(err)
+			return Result{}, fmt.Errorf("operation row: %w", err)
 		}
 		if op.Committed {
 			return Result{Outcome: OutcomeApplied, Revision: row.Version, Operation: operation}, nil
