Keep the request fuzz test from waiting for a watch

The path of a watch may be percent-encoded, so that the target did not contain the word and the run stood still for 30 s at a time. The decoded path is looked at instead. 486,690 executions in 40 s found no fault.

--- a/admin/server_test.go
+++ b/admin/server_test.go
@@ -461,7 +461,7 @@
 	f.Add("POST", "/v1/intents", []byte(`{"kind":"empty-rack","rack":"r","racK":"s"}`))
 	f.Fuzz(func(t *testing.T, method, target string, body []byte) {
 		r, err := http.NewRequest(method, target, bytes.NewReader(body))
-		if err != nil || strings.Contains(target, "watch") {
+		if err != nil || strings.Contains(r.URL.Path, "watch") { // A watch waits for up to 30 s.
 			return
 		}
 		r.Header = http.Header{"Authorization": {"Bearer admin"}, "Request-Id": {"r"}, "Content-Type": {"application/json"}}
