--- a/control/controller.go
+++ b/control/controller.go
@@ -45,6 +45,9 @@
 	fetching  bool // A read of rows from a peer is in progress.
 	valid     bool
 	dirty     bool
+	rollOut   *configurationSpread // Roll-out that this process measures, or nil.
+	// afterPublish is called after the next publication.
+	afterPublish []func()
 }
 
 // New returns a controller that does nothing before Run.
@@ -132,6 +135,10 @@
 		c.dirty = false
 		c.publish()
 	}
+	for _, f := range c.afterPublish {
+		f()
+	}
+	c.afterPublish = nil
 	c.maintainMembership(ctx)
 }
 
@@ -239,7 +246,8 @@
 	view := c.tracker.View()
 	c.logViewChange(before, view)
 	for id := range c.peers {
-		if !contains(view, id) {
+		// A new incarnation has confirmed nothing yet, even under the same ID.
+		if incarnationIn(view, id) != incarnationIn(before, id) {
 			delete(c.peers, id)
 		}
 	}
@@ -248,11 +256,12 @@
 	c.dirty = true
 }
 
-func contains(view fleet.MemberView, id fleet.MemberID) bool {
+// incarnationIn returns the incarnation of a member, or 0 when the view does not hold it.
+func incarnationIn(view fleet.MemberView, id fleet.MemberID) uint64 {
 	for _, m := range view.Members {
 		if m.ID == id {
-			return true
+			return m.Incarnation
 		}
 	}
-	return false
+	return 0
 }
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -104,7 +104,8 @@
 func (c *Controller) takeReport(m *peerpb.Heartbeat) {
 	id, now := fleet.MemberID(m.GetMember()), c.options.Now()
 	state := PeerState{
-		Heard: now, FleetRevision: m.GetFleetRevision(), ConfigVersion: m.GetConfigVersion(),
+		// A heartbeat may overtake the acknowledgement of a push; versions never decrease.
+		Heard: now, FleetRevision: m.GetFleetRevision(), ConfigVersion: max(m.GetConfigVersion(), c.peers[id].ConfigVersion),
 		ConfigBehind: c.peers[id].ConfigBehind,
 	}
 	switch {
@@ -118,6 +119,7 @@
 	}
 	c.dirty = c.dirty || !slices.Equal(state.Leaving, c.peers[id].Leaving) || state.ConfigVersion != c.peers[id].ConfigVersion
 	c.peers[id] = state
+	c.completeRollOut()
 	idle := make(map[fleet.PoolID]int, len(m.GetIdleSlots()))
 	for pool, n := range m.GetIdleSlots() {
 		idle[fleet.PoolID(pool)] = int(n)
--- a/control/receive.go
+++ b/control/receive.go
@@ -41,7 +41,8 @@
 	}
 }
 
-// ReceiveConfiguration takes in a configuration that a peer has accepted.
+// ReceiveConfiguration puts a configuration that a peer has accepted in force.
+// A nil error confirms that it, or a newer one, is in force.
 func (c *Controller) ReceiveConfiguration(ctx context.Context, m *peerpb.ConfigPush) error {
 	var config fleet.Configuration
 	if err := json.Unmarshal(m.GetDocument(), &config); err != nil {
@@ -50,8 +51,7 @@
 	if config.Version != m.GetVersion() {
 		return fmt.Errorf("configuration %d is labelled %d", config.Version, m.GetVersion())
 	}
-	c.send(ctx, configurationPushed{config: config})
-	return nil
+	return c.enforce(ctx, config)
 }
 
 // ReceiveDrainQuery returns the revision that this process routes by and its
