--- a/gateway/backend_test.go
+++ b/gateway/backend_test.go
@@ -52,8 +52,14 @@
 }
 
 func newBackend(t testing.TB) *backend {
+	b := &backend{next: answers, arrivals: map[string]int{}, release: make(chan struct{}), closed: make(chan struct{}, 1)}
+	b.Listener = accept(t, b.serve)
+	return b
+}
+
+// accept serves the connections of a new listener.
+func accept(t testing.TB, serve func(net.Conn)) net.Listener {
 	l := listen(t)
-	b := &backend{Listener: l, next: answers, arrivals: map[string]int{}, release: make(chan struct{}), closed: make(chan struct{}, 1)}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -61,10 +67,10 @@
 			if err != nil {
 				return
 			}
-			go b.serve(nc)
+			go func() { defer nc.Close(); serve(nc) }()
 		}
 	}()
-	return b
+	return l
 }
 
 func listen(t testing.TB) net.Listener {
@@ -84,7 +90,6 @@
 }
 
 func (b *backend) serve(nc net.Conn) {
-	defer nc.Close()
 	br := bufio.NewReader(nc)
 	for {
 		if _, err := br.Peek(1); err != nil || b.fault() == closesUnread {
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
 	"sync"
@@ -57,34 +58,17 @@
 				nc.Write(answer)
 			}
 		}
-	})
-}
-
-func accept(tb testing.TB, serve func(net.Conn)) string {
-	l := listen(tb)
-	tb.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() { defer nc.Close(); serve(nc) }()
-		}
-	}()
-	return l.Addr().String()
+	}).Addr().String()
 }
 
 func benchProxy(tb testing.TB, backend string) string {
 	target := &url.URL{Scheme: "http", Host: backend}
-	server := &http.Server{Handler: &httputil.ReverseProxy{
+	server := httptest.NewServer(&httputil.ReverseProxy{
 		Rewrite:   func(r *httputil.ProxyRequest) { r.SetURL(target) },
 		Transport: &http.Transport{MaxIdleConns: 1024, MaxIdleConnsPerHost: 1024, DisableCompression: true},
-	}}
-	l := listen(tb)
-	go server.Serve(l)
-	tb.Cleanup(func() { server.Close() })
-	return l.Addr().String()
+	})
+	tb.Cleanup(server.Close)
+	return server.Listener.Addr().String()
 }
 
 type benchDispatcher struct{ reservation }
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -37,7 +37,7 @@
 		s.config = newConfiguration()
 		client, err := exchange.New(exchange.Options{Dial: func(context.Context, string) (net.Conn, error) {
 			near, far := net.Pipe()
-			go b.serve(far)
+			go func() { defer far.Close(); b.serve(far) }()
 			return near, nil
 		}})
 		assert.NilError(t, err)
--- a/limits/retry/budget_test.go
+++ b/limits/retry/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,13 @@
 	})
 }
 
+func withdraw(b *Sliding) (granted int) {
+	for b.TryWithdraw() {
+		granted++
+	}
+	return granted
+}
+
 func since(times []time.Time, from time.Time) int {
 	n := 0
 	for _, at := range times {
@@ -62,13 +70,7 @@
 		for range 100 {
 			b.Deposit()
 		}
-		granted := 0
-		for range 100 {
-			if b.TryWithdraw() {
-				granted++
-			}
-		}
-		assert.Equal(t, granted, 10)
+		assert.Equal(t, withdraw(b), 10)
 	}
 }
 
@@ -78,25 +80,19 @@
 	b, err := New(Options{Now: c.Now, Ratio: 0.5})
 	assert.NilError(t, err)
 	var wg sync.WaitGroup
-	var mu sync.Mutex
-	granted := 0
+	var granted atomic.Int64
 	for range 8 {
 		wg.Go(func() {
 			for range 1000 {
 				b.Deposit()
 				if b.TryWithdraw() {
-					mu.Lock()
-					granted++
-					mu.Unlock()
+					granted.Add(1)
 				}
 			}
 		})
 	}
 	wg.Wait()
-	for b.TryWithdraw() {
-		granted++
-	}
-	assert.Equal(t, granted, 4000)
+	assert.Equal(t, int(granted.Load())+withdraw(b), 4000)
 }
 
 func TestInvalidOptionsAreRefused(t *testing.T) {
