--- a/testbed/platform_command.go
+++ b/testbed/platform_command.go
@@ -17,6 +17,7 @@
 
 type platformCommand struct {
 	Site       string        `long:"site" default:"quokka" description:"quokka or castwork"`
+	Workers    int           `long:"workers" description:"workers of a scaled site, in place of --site"`
 	BasePort   int           `long:"base-port" default:"21000" description:"first port of the backend servers"`
 	Listen     string        `long:"listen" default:"127.0.0.1:20001" description:"IP:port of the platform"`
 	Control    string        `long:"control" default:"127.0.0.1:20002" description:"control endpoint of the backend servers"`
@@ -30,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Workers > 0 {
+		s = site.Scaled(c.Workers)
+	}
 	table := storetest.New()
 	vms := s.VMs(c.BasePort)
 	if err := platform.Seed(table, seed(s, vms)); err != nil {
--- a/testbed/site/site.go
+++ b/testbed/site/site.go
@@ -112,3 +112,28 @@
 func (p Pool) CapacityRate(serviceTime time.Duration) float64 {
 	return float64(p.Workers*SlotsPerWorker) / serviceTime.Seconds()
 }
+
+// Sizes of the fleet in two years.
+const (
+	ScaledPools = 25
+	ScaledZones = 9
+)
+
+// Scaled returns a site with a number of workers in the pools and availability
+// zones of the fleet in two years.
+func Scaled(workers int) Site {
+	s := Site{Name: fmt.Sprintf("scaled-%d", workers)}
+	for i := range ScaledZones {
+		s.Zones = append(s.Zones, fleet.ZoneID(fmt.Sprintf("zone-%d", i+1)))
+	}
+	pools := min(ScaledPools, workers)
+	for i := range pools {
+		n := workers / pools
+		if i < workers%pools {
+			n++
+		}
+		s.Pools = append(s.Pools, Pool{ID: fleet.PoolID(fmt.Sprintf("pool-%02d", i+1)), Workers: n})
+	}
+	s.Spare = s.Pools[pools-1].ID
+	return s
+}
