--- /dev/null
+++ b/peridotcrank/cli/print.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"unicode"
+
+	"peridotcrank.dev/admin"
+)
+
+// columnGap is the number of spaces between columns.
+const columnGap = 2
+
+// table writes aligned text.
+type table struct{ w *tabwriter.Writer }
+
+func (t *table) row(cells ...any) {
+	texts := make([]string, len(cells))
+	for i, cell := range cells {
+		texts[i] = printable(fmt.Sprint(cell))
+	}
+	fmt.Fprintln(t.w, strings.Join(texts, "\t"))
+}
+
+// line writes text that does not take part in the alignment.
+func (t *table) line(text string) {
+	t.w.Flush()
+	fmt.Fprintln(t.w, printable(text))
+	t.w.Flush()
+}
+
+// printable quotes text with control characters, which others may have put
+// into names and reasons and which a terminal would obey.
+func printable(text string) string {
+	if strings.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(text)
+	}
+	return text
+}
+
+// print writes a result as indented JSON or as text.
+func (a *app) print(value any, show func(*table)) error {
+	if a.options.Output == outputJSON {
+		encoder := json.NewEncoder(a.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	return a.printText(show)
+}
+
+// printItem writes one of several results, as one line of JSON or as text.
+func (a *app) printItem(value any, show func(*table)) error {
+	if a.options.Output == outputJSON {
+		return json.NewEncoder(a.out).Encode(value)
+	}
+	return a.printText(show)
+}
+
+func (a *app) printText(show func(*table)) error {
+	t := &table{tabwriter.NewWriter(a.out, 0, 0, columnGap, ' ', 0)}
+	show(t)
+	if err := t.w.Flush(); err != nil {
+		return fmt.Errorf("write result: %w", err)
+	}
+	return nil
+}
+
+// errorReport is an error in JSON form.
+type errorReport struct {
+	Exit    int          `json:"exit"`
+	Message string       `json:"message"`
+	Error   *admin.Error `json:"error,omitempty"` // Error of the API.
+}
+
+// printError writes an error as JSON or as text.
+func (a *app) printError(err error) {
+	var api *admin.Error
+	errors.As(err, &api)
+	if a.options.Output == outputJSON {
+		_ = json.NewEncoder(a.err).Encode(errorReport{exitCode(err), err.Error(), api})
+		return
+	}
+	for line := range strings.Lines(err.Error()) {
+		fmt.Fprintf(a.err, "peridotcrank: %s\n", printable(strings.TrimSuffix(line, "\n")))
+	}
+	if api != nil && api.Conflict != nil {
+		a.printConflict(api.Conflict)
+	}
+}
+
+func (a *app) printConflict(conflict *admin.Conflict) {
+	if conflict.Plan != "" {
+		fmt.Fprintf(a.err, "  conflicts with plan %s at step %s\n", printable(string(conflict.Plan)), printable(dash(conflict.Step)))
+	}
+	for _, row := range conflict.Changed {
+		fmt.Fprintf(a.err, "  changed: %s is now at version %d\n", printable(row.Key), row.Version)
+	}
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "-"
+}
+
+func dash[T ~string](text T) string {
+	if text == "" {
+		return "-"
+	}
+	return string(text)
+}
--- /dev/null
+++ b/peridotcrank/cli/timeline.go
@@ -0,0 +1,81 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"peridotcrank.dev/admin"
+	"peridotcrank.dev/admin/client"
+	"peridotcrank.dev/eventlog"
+)
+
+type timelineCommand struct {
+	app   *app
+	After uint64 `long:"after" value-name:"TIME" description:"Show only events after this logical time"`
+	Local bool   `long:"local" description:"Show only the events of the called entry process"`
+}
+
+// Execute shows the timeline. Members that cannot be asked are named, and the
+// exit code tells that the timeline is incomplete.
+func (c *timelineCommand) Execute([]string) error {
+	api, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	local, err := api.Timeline(context.Background(), c.After)
+	if err != nil {
+		return err
+	}
+	timelines, missing := [][]eventlog.Event{local}, []string(nil)
+	if !c.Local {
+		others, absent, err := c.others(api)
+		if err != nil {
+			return err
+		}
+		timelines, missing = append(timelines, others...), absent
+	}
+	if err := c.write(eventlog.Merge(timelines...)); err != nil {
+		return err
+	}
+	if len(missing) > 0 {
+		return incomplete("the timeline lacks members:\n%s", strings.Join(missing, "\n"))
+	}
+	return nil
+}
+
+// others asks the members one after the other, since it is used by one
+// operator at a time and there are few members.
+func (c *timelineCommand) others(api *client.Client) (timelines [][]eventlog.Event, missing []string, err error) {
+	members, err := api.Members(context.Background())
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, m := range members {
+		if m.Self {
+			continue
+		}
+		events, err := c.ask(api, m)
+		if err != nil {
+			missing = append(missing, fmt.Sprintf("%s: %v", m.ID, err))
+			continue
+		}
+		timelines = append(timelines, events)
+	}
+	return timelines, missing, nil
+}
+
+func (c *timelineCommand) ask(api *client.Client, m admin.Member) ([]eventlog.Event, error) {
+	other, err := api.At(m.AdminAddress)
+	if err != nil {
+		return nil, err
+	}
+	return other.Timeline(context.Background(), c.After)
+}
+
+func (c *timelineCommand) write(events []eventlog.Event) error {
+	if c.app.options.Output == outputJSON {
+		return eventlog.WriteJSON(c.app.out, events)
+	}
+	return eventlog.WriteText(c.app.out, events)
+}
--- a/peridotcrank/main.go
+++ b/peridotcrank/main.go
@@ -1,4 +1,13 @@
 // Command peridotcrank is a fleet capacity and maintenance manager.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"peridotcrank.dev/peridotcrank/cli"
+)
+
+func main() {
+	code := cli.Run(os.Args[1:], cli.Commands{})
+	os.Exit(code)
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -220,3 +220,15 @@
 		}
 	})
 }
+
+// Guards against TLS files that are missing or hold something else and are
+// found only when a listener starts.
+func TestCheckFiles(t *testing.T) {
+	s, err := Load("testdata/full.yaml")
+	assert.NilError(t, err)
+	s.TLS.PeerCA = "testdata/full.yaml"
+	for _, part := range []string{"tls.callers: ", "tls.peers: ", "tls.admin: ", "tls.peer_ca: testdata/full.yaml holds no certificate"} {
+		assert.ErrorContains(t, s.CheckFiles(), part)
+	}
+	assert.NilError(t, Default().CheckFiles())
+}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -66,11 +66,12 @@
 // size is a number of bytes; messages show it with a unit.
 func size(c *checker, path string, value, low, high int64) {
 	if value < low || value > high {
-		c.add(path, fmt.Sprintf("%d bytes are out of range", value), fmt.Sprintf("%s to %s", formatBytes(low), formatBytes(high)))
+		c.add(path, fmt.Sprintf("%d bytes are out of range", value), fmt.Sprintf("%s to %s", FormatBytes(low), FormatBytes(high)))
 	}
 }
 
-func formatBytes(n int64) string {
+// FormatBytes renders a size with the largest unit that divides it.
+func FormatBytes(n int64) string {
 	for _, unit := range []struct {
 		factor int64
 		name   string
