--- a/peridotcrank/cli/process.go
+++ b/peridotcrank/cli/process.go
@@ -18,9 +18,6 @@
 	if err != nil {
 		return s, &exitError{ExitInvalid, err}
 	}
-	if err := s.CheckFiles(); err != nil {
-		return s, &exitError{ExitInvalid, err}
-	}
 	return s, nil
 }
 
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -3,29 +3,34 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/settings/strict"
 )
 
-// Load reads and validates a settings file. The error lists all faults and is
-// a [strict.Faults] when the file could be read.
+// Load reads and validates a settings file and the TLS files that it names.
+// The error lists all faults and is a [strict.Faults] when the file could be read.
 func Load(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return Settings{}, fmt.Errorf("read settings: %w", err)
 	}
-	return Parse(file, data)
+	return parse(file, data, Settings.fileIssues)
 }
 
 // Parse validates the contents of a settings file. The file name serves only
-// the messages.
+// the messages, and TLS files are not read.
 func Parse(file string, data []byte) (Settings, error) {
+	return parse(file, data, func(Settings) []issue { return nil })
+}
+
+func parse(file string, data []byte, more func(Settings) []issue) (Settings, error) {
 	document, root := strict.Parse(file, data)
 	s := Default()
 	if root.Present() {
 		decode(root, &s)
-		addIssues(document, s.issues())
+		addIssues(document, append(s.issues(), more(s)...))
 	}
 	if err := document.Finish(); err != nil {
 		return Settings{}, err
@@ -33,12 +38,11 @@
 	return s, nil
 }
 
-// addIssues reports issues at values that could be read.
+// addIssues reports issues at values that could be read. A value may have several.
 func addIssues(document *strict.Document, issues []issue) {
+	issues = slices.DeleteFunc(issues, func(i issue) bool { return document.Faulty(i.path) })
 	for _, i := range issues {
-		if !document.Faulty(i.path) {
-			document.Add(i.path, i.problem, i.accepted)
-		}
+		document.Add(i.path, i.problem, i.accepted)
 	}
 }
 
--- a/settings/files.go
+++ b/settings/files.go
@@ -3,39 +3,40 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
-	"fmt"
 	"os"
 )
 
-// CheckFiles reports TLS files that cannot be used on this machine. Names are
+const acceptedPair = "readable files in PEM form with a certificate and its key"
+
+// fileIssues reports TLS files that cannot be used on this machine. Names are
 // relative to the working directory of the process.
-func (s Settings) CheckFiles() error {
-	var faults []error
-	for _, pair := range []struct {
-		path string
-		KeyPair
-	}{{"tls.callers", s.TLS.Callers}, {"tls.peers", s.TLS.Peers}, {"tls.admin", s.TLS.Admin}} {
-		if !pair.Set() {
-			continue
-		}
-		if _, err := tls.LoadX509KeyPair(pair.Certificate, pair.Key); err != nil {
-			faults = append(faults, fmt.Errorf("%s: %w", pair.path, err))
-		}
-	}
+func (s Settings) fileIssues() []issue {
+	var c checker
+	c.keyPairFiles("tls.callers", s.TLS.Callers)
+	c.keyPairFiles("tls.peers", s.TLS.Peers)
+	c.keyPairFiles("tls.admin", s.TLS.Admin)
 	if s.TLS.PeerCA != "" {
-		faults = append(faults, checkCA(s.TLS.PeerCA))
+		c.authorityFile("tls.peer_ca", s.TLS.PeerCA)
+	}
+	return c.issues
+}
+
+func (c *checker) keyPairFiles(path string, p KeyPair) {
+	if p.Certificate == "" || p.Key == "" {
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(p.Certificate, p.Key); err != nil {
+		c.add(path, err.Error(), acceptedPair)
 	}
-	return errors.Join(faults...)
 }
 
-func checkCA(file string) error {
+func (c *checker) authorityFile(path, file string) {
 	pem, err := os.ReadFile(file)
 	if err != nil {
-		return fmt.Errorf("tls.peer_ca: %w", err)
+		c.add(path, err.Error(), "a readable file in PEM form")
+		return
 	}
 	if !x509.NewCertPool().AppendCertsFromPEM(pem) {
-		return fmt.Errorf("tls.peer_ca: %s holds no certificate in PEM form", file)
+		c.add(path, file+" holds no certificate", "a file in PEM form with a certificate")
 	}
-	return nil
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -35,7 +35,7 @@
 // Guards against a key that is accepted and not stored: each field of the full
 // file differs from its default.
 func TestFullSetsEachField(t *testing.T) {
-	s, err := Load("testdata/full.yaml")
+	s, err := Parse("full.yaml", []byte(readTestdata(t, "full.yaml")))
 	assert.NilError(t, err)
 	assertDiffer(t, "", reflect.ValueOf(s), reflect.ValueOf(Default()))
 	assert.Equal(t, s.Platform.URL, "https://platform.example:7000/tables")
@@ -125,8 +125,12 @@
 
 // Guards against a report that ends at the first fault or names a wrong line.
 func TestAllFaultsInOnePass(t *testing.T) {
+	_, err := Parse("s.yaml", []byte(strings.Replace(readTestdata(t, "minimal.yaml"), "10.0.0.1:8081", "0.0.0.0:8080", 1)))
+	assert.ErrorContains(t, err, "is also taken by listen.callers")
+	assert.ErrorContains(t, err, "does not name one IP address")
+
 	text := "member: 7\nzone: a\nzone: b\nlisten: none\nplatform: {url: x, timeout: 5}\nextra: 1\n"
-	_, err := Parse("s.yaml", []byte(text))
+	_, err = Parse("s.yaml", []byte(text))
 	var places []string
 	for line := range strings.Lines(err.Error()) {
 		places = append(places, strings.Join(strings.Split(line, ": ")[:2], " "))
@@ -223,12 +227,17 @@
 
 // Guards against TLS files that are missing or hold something else and are
 // found only when a listener starts.
-func TestCheckFiles(t *testing.T) {
-	s, err := Load("testdata/full.yaml")
-	assert.NilError(t, err)
-	s.TLS.PeerCA = "testdata/full.yaml"
-	for _, part := range []string{"tls.callers: ", "tls.peers: ", "tls.admin: ", "tls.peer_ca: testdata/full.yaml holds no certificate"} {
-		assert.ErrorContains(t, s.CheckFiles(), part)
+func TestTLSFiles(t *testing.T) {
+	text := strings.Replace(readTestdata(t, "full.yaml"), "ca.crt", "testdata/full.yaml", 1)
+	file := t.TempDir() + "/s.yaml"
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	_, err := Load(file)
+	for _, part := range []string{
+		"s.yaml:29: tls.callers: open callers.crt: no such file", "s.yaml:30: tls.peers: ", "s.yaml:31: tls.admin: ",
+		"s.yaml:32: tls.peer_ca: testdata/full.yaml holds no certificate; accepted: a file in PEM form",
+	} {
+		assert.ErrorContains(t, err, part)
 	}
-	assert.NilError(t, Default().CheckFiles())
+	_, err = Load("testdata/minimal.yaml")
+	assert.NilError(t, err)
 }
