--- /dev/null
+++ b/settings/files.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+)
+
+const acceptedPair = "readable files in PEM form with a certificate and its key"
+
+// fileIssues reports TLS files that cannot be used on this machine. Names are
+// relative to the working directory of the process.
+func (s Settings) fileIssues() []issue {
+	var c checker
+	c.keyPairFiles("tls.callers", s.TLS.Callers)
+	c.keyPairFiles("tls.peers", s.TLS.Peers)
+	c.keyPairFiles("tls.admin", s.TLS.Admin)
+	if s.TLS.PeerCA != "" {
+		c.authorityFile("tls.peer_ca", s.TLS.PeerCA)
+	}
+	return c.issues
+}
+
+func (c *checker) keyPairFiles(path string, p KeyPair) {
+	if p.Certificate == "" || p.Key == "" {
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(p.Certificate, p.Key); err != nil {
+		c.add(path, err.Error(), acceptedPair)
+	}
+}
+
+func (c *checker) authorityFile(path, file string) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		c.add(path, err.Error(), "a readable file in PEM form")
+		return
+	}
+	if !x509.NewCertPool().AppendCertsFromPEM(pem) {
+		c.add(path, file+" holds no certificate", "a file in PEM form with a certificate")
+	}
+}
