Add make demo: the whole path in separate processes with one command

The script starts the platform, 49 backend servers, three entry processes, callers and operator commands, and compares what callers saw with what ran.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,10 @@
 	$(GO) vet $(PACKAGES)
 	$(GO) tool staticcheck $(PACKAGES)
 
+# Runs the whole path in separate processes on loopback; under 60 s.
+demo: build
+	./scripts/demo.sh
+
 fmt:
 	gofmt -w $(MODULES)
 
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,75 @@
+#!/usr/bin/env bash
+# Runs the whole path in separate processes on loopback: platform and backend
+# stand-ins, three entry processes in three availability zones, callers and an
+# operator. Exits non-zero when a guarantee was broken.
+set -euo pipefail
+SITE_NAME=wa-south
+source "$(dirname "$0")/lib.sh"
+trap stop_all EXIT
+printf %s "$TOKEN" >"$RUN/token"
+chmod 600 "$RUN/token"
+
+# write_services TIMEOUT: the site's services with a timeout.
+write_services() {
+  echo "services:"
+  local pool
+  for pool in counterdesk stockroom webshop stalltill; do
+    echo "  - {name: $pool, path_prefix: /$pool/, pool: $pool, timeout: $1, availability_target: 0.999}"
+  done
+}
+
+# has_member N ID: whether entry process N lists a member.
+has_member() { operator "$1" member list | grep -q "$2"; }
+
+# plan_done N PLAN: whether a plan has ended.
+plan_done() { operator "$1" plan show "$2" | grep -qE "^State +done"; }
+
+# in_force N VERSION: whether entry process N reports the version in force everywhere.
+in_force() { operator "$1" config status | grep -q "version $2: in force"; }
+
+echo "== start the platform, 49 backend servers and three entry processes"
+start backend "$BIN/testbed" backend --site quokka
+wait_for 10 curl -fsS "http://$CONTROL/v1/runs"
+start platform "$BIN/testbed" platform --site quokka
+wait_for 10 curl -fsS "http://$PLATFORM/v1/vms"
+start_entry 1 wa-south-a
+start_entry 2 wa-south-b
+start_entry 3 wa-south-c
+for n in 1 2 3; do wait_for 10 curl -s "http://$(admin_of $n)/v1/members"; done
+wait_for 10 has_member 1 entry-3
+operator 1 member list
+
+echo "== accept a configuration"
+write_services 2s >"$RUN/services.yaml"
+operator 1 config set "$RUN/services.yaml"
+for n in 1 2 3; do wait_for 10 ready $n; done
+wait_for 13 in_force 2 1
+operator 2 config status
+
+echo "== send the mean load of the site and move a VM meanwhile"
+start load "$BIN/testbed" load --site quokka --length 15s --output "$RUN/report.json" \
+  --entry "$(callers_of 1)" --entry "$(callers_of 2)" --entry "$(callers_of 3)"
+sleep 2
+operator 1 --output json intent create pool-capacity webshop 12 >"$RUN/plan.json"
+plan=$(grep -o '"id": *"plan-[^"]*"' "$RUN/plan.json" | head -1 | cut -d'"' -f4)
+operator 2 plan show "$plan"
+operator 2 plan confirm "$plan"
+wait_for 20 plan_done 3 "$plan"
+operator 3 pool list
+
+echo "== accept another configuration under load"
+write_services 1500ms >"$RUN/services.yaml"
+operator 3 config set "$RUN/services.yaml"
+wait_for 13 in_force 1 2
+wait "$(pid_of load)"
+
+echo "== what callers saw"
+cat "$RUN/load.log"
+operator 1 timeline >"$RUN/timeline.log"
+echo "== timeline of the plan, all processes in causal order"
+grep -E "intent-created|plan-|move-step" "$RUN/timeline.log" | cut -c1-160
+echo "== summary"
+echo "moves: $(grep -c 'serving: the VM serves in pool' "$RUN/timeline.log")"
+echo "roll-out time of configurations, from acceptance to in force everywhere:"
+grep "config-in-force" "$RUN/timeline.log" | cut -c1-160
+"$BIN/testbed" verify --report "$RUN/report.json" --control "$CONTROL"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -28,7 +28,10 @@
 # stop_all ends what start began, by process ID.
 stop_all() {
   local pid
-  for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill "$pid" 2>/dev/null; done
+  for pid in "${PIDS[@]}"; do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill "$pid" 2>/dev/null || true
+  done
   wait 2>/dev/null || true
 }
 
