Return borrowed slots when their lease ends

Without a return a lender waits for the in-flight limit (2 s) after each lease. A slot that is busy at the end of its lease is now given back on its release. The model test showed that a return may arrive after the lender has ended the loan by itself and has lent the slot again; returns are therefore sent only during the first half of the in-flight time after the lease.

--- a/limits/slots/exclusive_test.go
+++ b/limits/slots/exclusive_test.go
@@ -217,8 +217,10 @@
 		for _, worker := range p.ledger.workers {
 			workers = append(workers, worker)
 		}
-		w.send(p, 0, p.ledger.GiveBack("p", workers), o.Wait/4)
+		p.ledger.GiveBack(workers)
+		w.send(p, 0, p.ledger.Returns(w.now), o.Wait/4)
 	case opHandover:
+		w.send(p, 0, p.ledger.Returns(w.now), o.Wait/4)
 		w.send(p, p.ledger.Version(), p.ledger.Handovers(), o.Wait)
 	case opWorker:
 		less := maps.Clone(w.vms)
--- a/limits/slots/ledger.go
+++ b/limits/slots/ledger.go
@@ -23,7 +23,8 @@
 	// peers may know them under an older member view.
 	settled time.Time
 	timers  timers
-	owed    map[fleet.MemberID][]Slot
+	owed    map[fleet.MemberID][]Slot // Handovers by new home.
+	given   []giving
 }
 
 // NewLedger returns a Ledger without workers and members.
@@ -57,6 +58,10 @@
 		w.owing &^= bit
 		l.owe(Slot{w.id, index})
 	}
+	if w.overdue&bit != 0 {
+		w.overdue &^= bit
+		l.giveBack(w, index)
+	}
 	l.forget(w)
 }
 
@@ -218,6 +223,7 @@
 	w.waiting &^= bit
 	w.lent &^= bit
 	w.borrowed &^= bit
+	w.overdue &^= bit
 	w.slots[index].until = time.Time{}
 }
 
--- a/limits/slots/loans.go
+++ b/limits/slots/loans.go
@@ -57,30 +57,55 @@
 		}
 		w.borrowed |= 1 << s.Index
 		w.slots[s.Index].peer = home
+		w.slots[s.Index].leased = end
 		l.arm(w, s.Index, end)
 		accepted++
 	}
 	return accepted
 }
 
-// GiveBack removes the borrowed slots of a pool that no request holds and
-// returns them by lender, for the caller to send.
-func (l *Ledger) GiveBack(pool fleet.PoolID, workers []*Worker) map[fleet.MemberID][]Slot {
-	var given map[fleet.MemberID][]Slot
+// GiveBack ends the leases of the borrowed slots of the given workers that no
+// request holds. Returns then lists them.
+func (l *Ledger) GiveBack(workers []*Worker) {
 	for _, w := range workers {
-		if w.pool != pool {
-			continue
-		}
 		each(w.borrowed&^w.busy, func(i int) {
-			if given == nil {
-				given = map[fleet.MemberID][]Slot{}
-			}
-			lender := w.slots[i].peer.ID
-			given[lender] = append(given[lender], Slot{w.id, i})
 			l.drop(w, i)
+			l.giveBack(w, i)
 		})
 	}
-	return given
+}
+
+// giving is a borrowed slot to be given back.
+type giving struct {
+	lender fleet.MemberID
+	slot   Slot
+	// before is the time after which the return is not sent any more: it
+	// could arrive when the lender has ended the loan by itself and has lent
+	// the slot again.
+	before time.Time
+}
+
+func (l *Ledger) giveBack(w *Worker, index int) {
+	s := w.slots[index]
+	l.given = append(l.given, giving{s.peer.ID, Slot{w.id, index}, s.leased.Add(l.options.InFlight / 2)})
+}
+
+// Returns returns, by lender, the borrowed slots that this process no longer
+// uses, and forgets them. The caller sends them at once as ReturnRequest with
+// View 0. A lost message keeps the slots from their home until the in-flight
+// time after the lease has passed.
+func (l *Ledger) Returns(now time.Time) map[fleet.MemberID][]Slot {
+	if len(l.given) == 0 {
+		return nil
+	}
+	byLender := map[fleet.MemberID][]Slot{}
+	for _, g := range l.given {
+		if now.Before(g.before) {
+			byLender[g.lender] = append(byLender[g.lender], g.slot)
+		}
+	}
+	l.given = l.given[:0]
+	return byLender
 }
 
 // TakeBack accepts slots that a peer gives back or hands over. It reports
--- a/limits/slots/timers.go
+++ b/limits/slots/timers.go
@@ -44,14 +44,27 @@
 		}
 		bit := uint64(1) << t.index
 		freed = freed || (t.worker.waiting|t.worker.lent)&bit != 0
+		if t.worker.borrowed&bit != 0 {
+			l.endLease(t.worker, t.index)
+		}
 		t.worker.waiting &^= bit
 		t.worker.lent &^= bit
-		t.worker.borrowed &^= bit
 		l.forget(t.worker)
 	}
 	return freed
 }
 
+// endLease gives a borrowed slot back, or notes to do so on its release.
+func (l *Ledger) endLease(w *Worker, index int) {
+	bit := uint64(1) << index
+	w.borrowed &^= bit
+	if w.busy&bit != 0 {
+		w.overdue |= bit
+		return
+	}
+	l.giveBack(w, index)
+}
+
 // Next returns the earliest time at which Advance may change a slot. It
 // reports false when there is none.
 func (l *Ledger) Next() (time.Time, bool) {
--- a/limits/slots/worker.go
+++ b/limits/slots/worker.go
@@ -23,6 +23,7 @@
 	borrowed uint64 // Home is a peer that has lent the slot.
 	busy     uint64 // Held by a request of this process.
 	owing    uint64 // Lost while busy; handed over to the new home on release.
+	overdue  uint64 // The lease ended while busy; given back to the lender on release.
 
 	slots []state
 }
@@ -34,6 +35,8 @@
 	until time.Time
 	// peer is the borrower or the lender.
 	peer fleet.Member
+	// leased is the end of the latest lease from the peer.
+	leased time.Time
 	// gained is the version of the view with which the slot became mine.
 	gained uint64
 	// vouched is the version of the view with which a previous home has
