--- a/limits/admission/queue.go
+++ b/limits/admission/queue.go
@@ -108,6 +108,9 @@
 	return q.options.MaxQueue
 }
 
+// First returns the request to be served next, or nil, and leaves it queued.
+func (q *Queue[V]) First() *Entry[V] { return q.order.first() }
+
 // Next removes the request to be served next and returns it, or nil.
 func (q *Queue[V]) Next() *Entry[V] {
 	e := q.order.first()
--- a/limits/slots/ledger.go
+++ b/limits/slots/ledger.go
@@ -93,16 +93,22 @@
 	return owed
 }
 
-// SetWorkers replaces the set of workers. Only workers that differ from the
-// present ones are computed.
+// SetWorkers replaces the set of workers.
 func (l *Ledger) SetWorkers(now time.Time, vms map[fleet.VMID]fleet.VM) {
 	for id, w := range l.workers {
 		if _, ok := vms[id]; !ok && !w.gone {
-			l.removeWorker(w)
+			l.RemoveWorker(id)
 		}
 	}
-	for id, vm := range vms {
-		l.putWorker(now, id, vm)
+	for _, vm := range vms {
+		l.PutWorker(now, vm)
+	}
+}
+
+// RemoveWorker removes a worker. Requests that hold its slots still release them.
+func (l *Ledger) RemoveWorker(id fleet.VMID) {
+	if w := l.Worker(id); w != nil {
+		l.removeWorker(w)
 	}
 }
 
@@ -113,8 +119,9 @@
 	l.forget(w)
 }
 
-func (l *Ledger) putWorker(now time.Time, id fleet.VMID, vm fleet.VM) {
-	n := min(max(vm.Slots, 0), MaxPerWorker)
+// PutWorker adds a worker or changes its pool, zone and number of slots.
+func (l *Ledger) PutWorker(now time.Time, vm fleet.VM) *Worker {
+	n, id := min(max(vm.Slots, 0), MaxPerWorker), vm.ID
 	w := l.workers[id]
 	if w == nil {
 		w = &Worker{id: id}
@@ -123,7 +130,7 @@
 	w.pool, w.gone = vm.Pool, false
 	row := l.homes.workers[id]
 	if row != nil && row.zone == vm.Zone && len(row.homes) == n {
-		return
+		return w
 	}
 	if row != nil && row.zone != vm.Zone {
 		// Peers assign other homes until they see the new zone.
@@ -132,6 +139,7 @@
 	w.grow(n)
 	l.homes.PutWorker(id, vm.Zone, n)
 	l.rehome(now, w, false)
+	return w
 }
 
 // SetMembers adopts a member view; one that is not newer is ignored, unless
--- /dev/null
+++ b/routing/borrow.go
@@ -0,0 +1,192 @@
+package routing
+
+import (
+	"context"
+	"math/bits"
+	"time"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/limits/slots"
+)
+
+// borrow is the state of a pool's borrowing.
+type borrow struct {
+	asking bool                      // A request to a peer is in progress.
+	idle   map[fleet.MemberID]report // Idle slots of peers.
+	waited time.Time                 // Last time a request waited.
+}
+
+func newBorrow() borrow { return borrow{idle: map[fleet.MemberID]report{}} }
+
+// report is what a peer's latest heartbeat said, less what was borrowed since.
+type report struct {
+	slots int
+	at    time.Time
+}
+
+// letter is a return or a handover to be sent to a peer.
+type letter struct {
+	member fleet.MemberID
+	slots.ReturnRequest
+}
+
+// IdleSlots returns the number of slots of each pool that this process could
+// lend, for heartbeats.
+func (r *Router) IdleSlots() map[fleet.PoolID]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.options.Now()
+	r.advance(now)
+	idle := map[fleet.PoolID]int{}
+	if !r.valid(now) {
+		return idle
+	}
+	for id, p := range r.pools {
+		if p.queue.Len() > 0 {
+			continue
+		}
+		for _, w := range p.workers(now) {
+			idle[id] += bits.OnesCount64(w.Idle())
+		}
+	}
+	return idle
+}
+
+// ReportIdle records the idle slots by pool that a peer's heartbeat announced.
+func (r *Router) ReportIdle(member fleet.MemberID, idle map[fleet.PoolID]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.options.Now()
+	for id, p := range r.pools {
+		p.borrow.idle[member] = report{idle[id], now}
+		if idle[id] > 0 && p.queue.Len() > 0 {
+			r.ask(now, p)
+		}
+	}
+}
+
+// Lend answers a peer's request for slots. It lends nothing while requests of
+// the pool wait here.
+func (r *Router) Lend(q slots.BorrowRequest) slots.BorrowReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.options.Now()
+	r.advance(now)
+	p := r.pools[q.Pool]
+	if p == nil || p.queue.Len() > 0 || r.closed || !r.valid(now) {
+		return slots.BorrowReply{}
+	}
+	return r.ledger.Lend(now, q, p.workers(now))
+}
+
+// TakeBack accepts slots that a peer returns.
+func (r *Router) TakeBack(q slots.ReturnRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.options.Now()
+	r.advance(now)
+	if r.ledger.TakeBack(q) {
+		r.serveAll(now)
+	}
+}
+
+// ask requests slots from the peer that reports the most idle ones, unless a
+// request is in progress.
+func (r *Router) ask(now time.Time, p *pool) {
+	p.borrow.waited = now
+	if r.options.Peers == nil || p.borrow.asking || r.closed {
+		return
+	}
+	lender, most := fleet.MemberID(""), 0
+	for id, rep := range p.borrow.idle {
+		fresh := now.Sub(rep.at) <= r.options.Borrow.Fresh
+		if fresh && (rep.slots > most || rep.slots == most && most > 0 && id < lender) {
+			lender, most = id, rep.slots
+		}
+	}
+	if most == 0 {
+		return
+	}
+	p.borrow.asking = true
+	q := slots.BorrowRequest{From: r.self.ID, View: r.ledger.Version(), Pool: p.id, Count: max(p.queue.Len(), 1)}
+	go r.request(p, lender, q)
+}
+
+// request sends one request to a peer and serves waiting requests with the reply.
+func (r *Router) request(p *pool, lender fleet.MemberID, q slots.BorrowRequest) {
+	sent := r.options.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), r.options.Borrow.Timeout)
+	defer cancel()
+	reply, err := r.options.Peers.Borrow(ctx, lender, q)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.options.Now()
+	r.advance(now)
+	p.borrow.asking = false
+	got := 0
+	if err == nil {
+		got = r.ledger.Borrow(now, sent, lender, q, reply)
+	}
+	rep := p.borrow.idle[lender]
+	rep.slots = max(rep.slots-got, 0)
+	if got == 0 {
+		rep.slots = 0 // Until the next heartbeat.
+	}
+	p.borrow.idle[lender] = rep
+	r.serve(now, p)
+	r.schedule(now, p)
+	r.send(now)
+}
+
+// giveBack returns the idle borrowed slots of pools in which no request has
+// waited for some time.
+func (r *Router) giveBack(now time.Time) {
+	for _, p := range r.pools {
+		if now.Sub(p.borrow.waited) < r.options.Borrow.IdleTime {
+			continue
+		}
+		for _, b := range p.backends {
+			if b.worker.Borrowed() != 0 {
+				r.ledger.GiveBack([]*slots.Worker{b.worker})
+			}
+		}
+	}
+}
+
+// send passes returns and handovers on to the sending goroutine, which ends
+// when there is nothing left to send.
+func (r *Router) send(now time.Time) {
+	returns, handovers := r.ledger.Returns(now), r.ledger.Handovers()
+	if r.options.Peers == nil {
+		return
+	}
+	for id, s := range returns {
+		r.outbox = append(r.outbox, letter{id, slots.ReturnRequest{From: r.self.ID, Slots: s}})
+	}
+	for id, s := range handovers {
+		r.outbox = append(r.outbox, letter{id, slots.ReturnRequest{From: r.self.ID, View: r.ledger.Version(), Slots: s}})
+	}
+	if len(r.outbox) > 0 && !r.sending {
+		r.sending = true
+		go r.deliver()
+	}
+}
+
+func (r *Router) deliver() {
+	for {
+		r.mu.Lock()
+		batch := r.outbox
+		r.outbox = nil
+		r.sending = len(batch) > 0
+		r.mu.Unlock()
+		if len(batch) == 0 {
+			return
+		}
+		for _, l := range batch {
+			ctx, cancel := context.WithTimeout(context.Background(), r.options.Borrow.Timeout)
+			// A lost return or handover costs time only.
+			_ = r.options.Peers.Return(ctx, l.member, l.ReturnRequest)
+			cancel()
+		}
+	}
+}
--- /dev/null
+++ b/routing/view.go
@@ -0,0 +1,154 @@
+package routing
+
+import (
+	"time"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/limits/admission"
+)
+
+// SetView adopts a view of the fleet and of the members. Once it has returned,
+// no VM that the snapshot does not list as routable gets a new request, and no
+// slot is used whose home is now another member. A snapshot older than the
+// present one and a member view that is not newer are ignored.
+func (r *Router) SetView(s *fleet.Snapshot, members fleet.MemberView, self fleet.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.options.Now()
+	r.advance(now)
+	r.ledger.SetMembers(now, members, self, r.continuous(now))
+	moved := r.self.Zone != self.Zone
+	r.self = self
+	if s != nil && s.Revision >= r.revision {
+		r.revision = s.Revision
+		r.setFleet(now, s)
+	}
+	for _, p := range r.pools {
+		if moved {
+			p.setNear(self.Zone)
+		}
+		r.forgetPeers(p, members)
+		r.serve(now, p)
+		r.schedule(now, p)
+	}
+	r.send(now)
+}
+
+// forgetPeers drops the reports of processes that are not members any more.
+func (r *Router) forgetPeers(p *pool, members fleet.MemberView) {
+	present := map[fleet.MemberID]bool{}
+	for _, m := range members.Members {
+		present[m.ID] = true
+	}
+	for id := range p.borrow.idle {
+		if !present[id] {
+			delete(p.borrow.idle, id)
+		}
+	}
+}
+
+// setFleet applies the differences between the present view and a snapshot.
+func (r *Router) setFleet(now time.Time, s *fleet.Snapshot) {
+	for id, b := range r.backends {
+		if _, ok := s.VMs[id]; !ok {
+			r.place(b, b.vm, false)
+			r.ledger.RemoveWorker(id)
+			delete(r.backends, id)
+		}
+	}
+	for id, vm := range s.VMs {
+		b := r.backends[id]
+		if b != nil && b.vm == vm {
+			continue
+		}
+		if b == nil {
+			b = &backend{leaving: r.leaving[id]}
+			delete(r.leaving, id)
+			r.backends[id] = b
+		}
+		b.worker = r.ledger.PutWorker(now, vm)
+		r.place(b, vm, true)
+	}
+	for key, t := range r.tallies {
+		if b := r.backends[key.vm]; t.inFlight == 0 && (b == nil || b.tally != t) {
+			delete(r.tallies, key)
+		}
+	}
+}
+
+// place records a VM's row and moves its backend server between pools.
+func (r *Router) place(b *backend, vm fleet.VM, present bool) {
+	old := b.vm
+	routed := b.routable()
+	if b.present && (vm.Generation != old.Generation || vm.Address != old.Address) {
+		b.health = health{}
+	}
+	if b.present && vm.Generation != old.Generation || vm.Phase != fleet.PhaseServing {
+		// The report was about the stay that the row now shows as ended.
+		b.leaving = false
+	}
+	b.vm, b.present = vm, present
+	b.tally = r.tallyOf(vmKey{vm.ID, vm.Generation})
+	r.enlist(b, old.Pool, routed)
+}
+
+// enlist updates the pools after a change of the backend server.
+func (r *Router) enlist(b *backend, old fleet.PoolID, routed bool) {
+	if routed && (!b.routable() || b.vm.Pool != old) {
+		r.pools[old].remove(b)
+		r.pools[old].setNear(r.self.Zone)
+		routed = false
+	}
+	if p := r.poolOf(b.vm.Pool); b.routable() && !routed {
+		p.backends = append(p.backends, b)
+		p.setNear(r.self.Zone)
+	}
+}
+
+func (r *Router) tallyOf(key vmKey) *tally {
+	t := r.tallies[key]
+	if t == nil {
+		t = &tally{}
+		r.tallies[key] = t
+	}
+	return t
+}
+
+func (r *Router) poolOf(id fleet.PoolID) *pool {
+	p := r.pools[id]
+	if p == nil {
+		// The options were validated by New.
+		queue, _ := admission.New[*waiter](r.options.Admission)
+		p = &pool{id: id, queue: queue, spill: spill{options: r.options.Spill}, borrow: newBorrow()}
+		r.pools[id] = p
+	}
+	return p
+}
+
+// ReportLeaving adds VMs whose backend servers are leaving. They get no new
+// request until their row shows that the stay has ended (another phase than
+// serving, or another generation) or ClearLeaving is called. Callers must not
+// repeat a report that was made before the VM's move.
+func (r *Router) ReportLeaving(vms []fleet.VMID) { r.mark(vms, true) }
+
+// ClearLeaving withdraws reports that turned out to be wrong.
+func (r *Router) ClearLeaving(vms []fleet.VMID) { r.mark(vms, false) }
+
+func (r *Router) mark(vms []fleet.VMID, leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range vms {
+		b := r.backends[id]
+		switch {
+		case b != nil && b.vm.Phase == fleet.PhaseServing:
+			routed := b.routable()
+			b.leaving = leaving
+			r.enlist(b, b.vm.Pool, routed)
+		case b == nil && leaving:
+			r.leaving[id] = true
+		case b == nil:
+			delete(r.leaving, id)
+		}
+	}
+	r.serveAll(r.options.Now())
+}
