claims: claim keys through owners with dispatch records and recovery

- Copies span two availability zones: when owner and dispatcher are in the same one, a further member in another zone stores a copy.
The loss of a whole zone then loses no claim.
- Departures count together for the whole window, not only during one recovery: a claim has lost one holder with the first departure, and copies are not made again.
- A claim in progress is part of a recovery reply, and a reply is given only in the view of the question.
Without that, an owner of an old view could still grant a key that the new owner grants as well.
- Claims are handed over last, directly before leaving the view, since an owner that has handed over can grant nothing.

--- /dev/null
+++ b/claims/config.go
@@ -0,0 +1,93 @@
+package claims
+
+import (
+	"errors"
+	"time"
+
+	"peridotcrank.dev/fleet"
+)
+
+// Defaults of Config.
+const (
+	DefaultWindow         = 60 * time.Second
+	DefaultValidFor       = 3 * time.Second
+	DefaultDispatchWithin = 10 * time.Second
+	// DefaultClaimTimeout is longer than one eviction of the membership module
+	// needs to be written, and shorter than a caller's patience.
+	DefaultClaimTimeout = time.Second
+	// DefaultRetryInterval is the pause between attempts that provably had no effect.
+	DefaultRetryInterval = 10 * time.Millisecond
+	// DefaultRecoveryTimeout bounds one request for a page of records.
+	DefaultRecoveryTimeout = 500 * time.Millisecond
+	// DefaultMaxRecords holds the window of two thousand claims a second, each
+	// as dispatcher, owner or further holder.
+	DefaultMaxRecords = 200_000
+	// DefaultPageSize keeps a page of the longest keys below the frame limit of 1 MiB.
+	DefaultPageSize = 1000
+)
+
+// MaxKeyLength bounds an encoded key, in bytes.
+const MaxKeyLength = 512
+
+// Config holds the settings of a Service.
+type Config struct {
+	Self      fleet.MemberID
+	Transport Transport
+	// Valid reports whether the member view of this process is valid now. It must
+	// not call the service.
+	Valid func() bool
+	// Now is a monotonic clock that includes time during which the process was suspended.
+	Now func() time.Duration
+
+	// Window is the time for which a claim is remembered.
+	Window time.Duration
+	// ValidFor is the longest time for which an evicted member still dispatches.
+	ValidFor time.Duration
+	// DispatchWithin is the time after the start of a claim within which it may
+	// be dispatched. It is less than Window.
+	DispatchWithin  time.Duration
+	ClaimTimeout    time.Duration // Longest duration of Claim.
+	RetryInterval   time.Duration
+	RecoveryTimeout time.Duration
+	MaxRecords      int
+	PageSize        int
+}
+
+// Validate reports the first missing or impossible setting.
+func (c Config) Validate() error {
+	switch {
+	case c.Self == "" || c.Transport == nil || c.Valid == nil || c.Now == nil:
+		return errors.New("claims: Self, Transport, Valid and Now are required")
+	case c.DispatchWithin >= c.Window:
+		return errors.New("claims: DispatchWithin must be less than Window")
+	case c.ClaimTimeout > c.DispatchWithin:
+		return errors.New("claims: ClaimTimeout must not exceed DispatchWithin")
+	case c.MaxRecords < 1 || c.PageSize < 1:
+		return errors.New("claims: MaxRecords and PageSize must be positive")
+	case c.ValidFor <= 0 || c.ClaimTimeout <= 0 || c.RetryInterval <= 0 || c.RecoveryTimeout <= 0:
+		return errors.New("claims: durations must be positive")
+	}
+	return nil
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Window, DefaultWindow)
+	setDefault(&c.ValidFor, DefaultValidFor)
+	setDefault(&c.DispatchWithin, DefaultDispatchWithin)
+	setDefault(&c.ClaimTimeout, DefaultClaimTimeout)
+	setDefault(&c.RetryInterval, DefaultRetryInterval)
+	setDefault(&c.RecoveryTimeout, DefaultRecoveryTimeout)
+	setDefault(&c.MaxRecords, DefaultMaxRecords)
+	setDefault(&c.PageSize, DefaultPageSize)
+	return c
+}
+
+func setDefault[T int | time.Duration](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+// retention is the longest time for which a claim may matter after the moment
+// at which its holders were known to be gone.
+func (c Config) retention() time.Duration { return c.Window + c.ValidFor + bucketWidth }
