--- a/control/plans/action.go
+++ b/control/plans/action.go
@@ -44,7 +44,9 @@
 	Spread time.Duration
 	// Poll is the time between two acts on one VM. Default 250 ms.
 	Poll time.Duration
-	Move move.Limits
+	// Stall is the time after which a plan that can start no step is blocked. Default 15 min.
+	Stall time.Duration
+	Move  move.Limits
 }
 
 // Defaults of Limits.
@@ -53,6 +55,7 @@
 	DefaultRenew  = 1500 * time.Millisecond
 	DefaultSpread = 500 * time.Millisecond
 	DefaultPoll   = 250 * time.Millisecond
+	DefaultStall  = 15 * time.Minute
 )
 
 // WithDefaults returns l with defaults in place of zero fields.
@@ -61,6 +64,7 @@
 	def(&l.Renew, DefaultRenew)
 	def(&l.Spread, DefaultSpread)
 	def(&l.Poll, DefaultPoll)
+	def(&l.Stall, DefaultStall)
 	l.Move = l.Move.WithDefaults()
 	return l
 }
@@ -68,7 +72,7 @@
 // Validate reports a lease that would lapse between two renewals.
 func (l Limits) Validate() error {
 	l = l.WithDefaults()
-	if min(l.Lease, l.Renew, l.Spread, l.Poll) < 0 {
+	if min(l.Lease, l.Renew, l.Spread, l.Poll, l.Stall) < 0 {
 		return fmt.Errorf("plan driver limits: a duration is negative")
 	}
 	if l.Renew*2 > l.Lease {
--- a/control/plans/driver.go
+++ b/control/plans/driver.go
@@ -19,8 +19,12 @@
 	Table       store.Table
 	Environment Environment
 	Limits      Limits
-	// Interval is the mean time between two ticks of Run. Default 250 ms.
+	// Interval is the mean time between two ticks of Run while this process
+	// drives a plan. Default 250 ms.
 	Interval time.Duration
+	// IdleInterval is the mean time between two ticks while no plan needs a
+	// driver. Default 1 s.
+	IdleInterval time.Duration
 	// Acts is the number of acts that run at once. Default 16.
 	Acts int
 	// ActTimeout bounds one act. Default 2 s.
@@ -30,15 +34,19 @@
 	Now func() time.Time
 	// Go runs an act. Default: a new goroutine. Tests run acts in place.
 	Go func(func())
+	// Leaving returns the VMs that are known to be leaving, which do not count
+	// as serving. Optional.
+	Leaving func() map[fleet.VMID]bool
 	// OnAction is called after each action with its error. Optional.
 	OnAction func(Action, error)
 }
 
 // Defaults of Options.
 const (
-	DefaultInterval   = 250 * time.Millisecond
-	DefaultActs       = 16
-	DefaultActTimeout = 2 * time.Second
+	DefaultInterval     = 250 * time.Millisecond
+	DefaultIdleInterval = time.Second
+	DefaultActs         = 16
+	DefaultActTimeout   = 2 * time.Second
 )
 
 // Validate reports missing fields and limits that contradict each other.
@@ -46,7 +54,7 @@
 	if o.Self == "" || o.Table == nil || o.Environment == nil {
 		return errors.New("plan driver options: Self, Table and Environment are required")
 	}
-	if o.Interval < 0 || o.Acts < 0 || o.ActTimeout < 0 {
+	if min(o.Interval, o.IdleInterval) < 0 || o.Acts < 0 || o.ActTimeout < 0 {
 		return errors.New("plan driver options: a number is negative")
 	}
 	return o.Limits.Validate()
@@ -54,6 +62,7 @@
 
 func (o Options) withDefaults() Options {
 	def(&o.Interval, DefaultInterval)
+	def(&o.IdleInterval, DefaultIdleInterval)
 	def(&o.Acts, DefaultActs)
 	def(&o.ActTimeout, DefaultActTimeout)
 	o.Limits = o.Limits.WithDefaults()
@@ -63,6 +72,9 @@
 	if o.Go == nil {
 		o.Go = func(f func()) { go f() }
 	}
+	if o.Leaving == nil {
+		o.Leaving = func() map[fleet.VMID]bool { return nil }
+	}
 	if o.OnAction == nil {
 		o.OnAction = func(Action, error) {}
 	}
@@ -103,13 +115,28 @@
 		// The error has been reported to OnAction or concerns a read that the
 		// next tick repeats.
 		_ = d.Tick(ctx)
-		jitter := time.Duration(rand.Int64N(int64(d.options.Interval)/2 + 1))
+		interval := d.interval()
+		jitter := time.Duration(rand.Int64N(int64(interval)/2 + 1))
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(d.options.Interval*3/4 + jitter):
+		case <-time.After(interval*3/4 + jitter):
+		}
+	}
+}
+
+// interval returns the mean time to the next tick. A process that only watches
+// the leases of others reads half as often as one that drives a plan.
+func (d *Driver) interval() time.Duration {
+	if d.Drives() > 0 {
+		return d.options.Interval
+	}
+	for _, plan := range d.Snapshot().Plans {
+		if plan.State.Driven() {
+			return min(2*d.options.Interval, d.options.IdleInterval)
 		}
 	}
+	return d.options.IdleInterval
 }
 
 // Tick refreshes the rows, decides and applies the actions.
@@ -143,13 +170,14 @@
 // Decide returns the next actions from the rows read last.
 func (d *Driver) Decide(now time.Time) []Action {
 	s := d.replica.Snapshot()
+	leaving := d.options.Leaving()
 	d.observer.observe(now, s)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forget(s)
 	return Step(now, View{
 		Self: d.options.Self, Snapshot: s, Held: d.held, Seen: d.observer.seen,
-		Evidence: d.evidence, Acted: d.acted, Limits: d.options.Limits,
+		Evidence: d.evidence, Acted: d.acted, Leaving: leaving, Limits: d.options.Limits,
 	})
 }
 
--- a/control/plans/driver_test.go
+++ b/control/plans/driver_test.go
@@ -64,8 +64,8 @@
 		}
 	}
 	intent := plan.Intent
-	if state == fleet.PlanDone && intent.Kind == fleet.IntentPoolCapacity && servingByPool(s)[intent.Pool] != intent.Capacity {
-		w.check(fmt.Errorf("the plan is done and pool %s holds %d VMs", intent.Pool, servingByPool(s)[intent.Pool]))
+	if state == fleet.PlanDone && intent.Kind == fleet.IntentPoolCapacity && serving(s)[intent.Pool] != intent.Capacity {
+		w.check(fmt.Errorf("the plan is done and pool %s holds %d VMs", intent.Pool, serving(s)[intent.Pool]))
 	}
 }
 
--- a/control/plans/sim_test.go
+++ b/control/plans/sim_test.go
@@ -309,11 +309,11 @@
 			w.check(fmt.Errorf("VM %s is in %d pools", id, len(pools)))
 		}
 	}
-	serving := servingByPool(s)
+	counts := serving(s)
 	for _, plan := range s.Plans {
 		for pool, floor := range plan.Floors {
-			if plan.State.Driven() && serving[pool] < floor {
-				w.check(fmt.Errorf("pool %s has %d serving VMs, below its floor of %d", pool, serving[pool], floor))
+			if plan.State.Driven() && counts[pool] < floor {
+				w.check(fmt.Errorf("pool %s has %d serving VMs, below its floor of %d", pool, counts[pool], floor))
 			}
 		}
 	}
@@ -340,3 +340,8 @@
 	w.check(fmt.Errorf("plan %s has not ended: %+v", plan, w.load().Plans[plan]))
 	return ""
 }
+
+func serving(s *fleet.Snapshot) map[fleet.PoolID]int {
+	view := View{Snapshot: s}
+	return view.serving()
+}
--- a/control/plans/step.go
+++ b/control/plans/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -24,7 +25,7 @@
 			continue
 		}
 		if serving == nil {
-			serving = servingByPool(v.Snapshot)
+			serving = v.serving()
 		}
 		d := driving{view: v, now: now, plan: plan, serving: serving}
 		actions = append(actions, d.actions()...)
@@ -43,17 +44,6 @@
 	}, func(a, b fleet.Plan) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// servingByPool counts the VMs that may be sent requests.
-func servingByPool(s *fleet.Snapshot) map[fleet.PoolID]int {
-	n := make(map[fleet.PoolID]int, len(s.Pools))
-	for _, vm := range s.VMs {
-		if vm.Routable() {
-			n[vm.Pool]++
-		}
-	}
-	return n
-}
-
 // driving computes the actions on one plan whose lease this process holds.
 type driving struct {
 	view    View
@@ -80,6 +70,7 @@
 	}
 	if d.next == nil && len(d.rows) == 0 && len(d.acts) == 0 {
 		d.end(waiting)
+		d.stall()
 	}
 	if d.next == nil && d.view.renewDue(d.now, d.plan) {
 		d.planRow()
@@ -117,7 +108,7 @@
 		return false
 	}
 	in := d.input(m, vm)
-	in.MayStart = d.mayStart(m, vm)
+	in.MayStart = d.heldBack(m, vm) == ""
 	decision := move.Next(in)
 	d.take(i, vm, decision, in.MayStart)
 	idle := decision.Write == nil && decision.Act == move.ActNone && decision.Failed == ""
@@ -154,7 +145,7 @@
 		d.reasons = append(d.reasons, string(vm.ID)+" "+string(decision.Write.Phase)+": "+decision.Reason)
 		if started && decision.Write.Phase == fleet.PhaseDraining {
 			d.limits.start(vm)
-			if vm.Routable() {
+			if d.view.routable(vm) {
 				d.serving[vm.Pool]--
 			}
 		}
@@ -186,16 +177,35 @@
 	return d.next
 }
 
-// mayStart reports whether a VM may start to drain now.
-func (d *driving) mayStart(m fleet.MoveStep, vm fleet.VM) bool {
+// heldBack says why a VM may not start to drain now. It is empty when it may.
+func (d *driving) heldBack(m fleet.MoveStep, vm fleet.VM) string {
 	if d.failing || d.plan.State != fleet.PlanConfirmed || vm.Phase != fleet.PhaseServing {
-		return false
+		return "no further step starts"
 	}
-	if slices.ContainsFunc(m.After, func(j int) bool { return j >= len(d.plan.Moves) || !d.plan.Moves[j].Done }) {
-		return false
+	for _, j := range m.After {
+		if j >= len(d.plan.Moves) || !d.plan.Moves[j].Done {
+			return fmt.Sprintf("step %d is not done", j+1)
+		}
 	}
-	if floor, ok := d.plan.Floors[vm.Pool]; ok && vm.Routable() && d.serving[vm.Pool]-1 < floor {
-		return false
+	if floor, ok := d.plan.Floors[vm.Pool]; ok && d.view.routable(vm) && d.serving[vm.Pool]-1 < floor {
+		return fmt.Sprintf("pool %s has %d serving VMs and the plan keeps %d", vm.Pool, d.serving[vm.Pool], floor)
+	}
+	if !d.limits.room(vm) {
+		return "as many VMs as the plan permits are being moved"
+	}
+	return ""
+}
+
+// stall fails a plan that has been held back for too long, for example because
+// other VMs of a pool have failed.
+func (d *driving) stall() {
+	if d.next != nil || d.limits.total > 0 || d.now.Sub(d.view.Seen[fleet.PlanKey(d.plan.ID)].Progress) < d.view.Limits.Stall {
+		return
+	}
+	for i, m := range d.plan.Moves {
+		if !m.Done && m.Failed == "" {
+			d.fail(i, fmt.Sprintf("VM %s could not start to drain within %s: %s", m.VM, d.view.Limits.Stall, d.heldBack(m, d.view.Snapshot.VMs[m.VM])))
+			return
+		}
 	}
-	return d.limits.room(vm)
 }
--- a/control/plans/view.go
+++ b/control/plans/view.go
@@ -21,7 +21,23 @@
 	// time of the last act; it is in the future while an act is running.
 	Evidence map[fleet.VMID]move.Evidence
 	Acted    map[fleet.VMID]time.Time
-	Limits   Limits
+	// Leaving are VMs that do not count as serving, whatever their rows say.
+	Leaving map[fleet.VMID]bool
+	Limits  Limits
+}
+
+// routable reports whether a VM counts as serving.
+func (v View) routable(vm fleet.VM) bool { return vm.Routable() && !v.Leaving[vm.ID] }
+
+// serving counts the VMs of each pool that serve.
+func (v View) serving() map[fleet.PoolID]int {
+	n := make(map[fleet.PoolID]int, len(v.Snapshot.Pools))
+	for _, vm := range v.Snapshot.VMs {
+		if v.routable(vm) {
+			n[vm.Pool]++
+		}
+	}
+	return n
 }
 
 // Seen is the observation of an unchanged row by the local clock.
@@ -31,8 +47,12 @@
 	Last    time.Time // Last read with this version.
 	// State is the time since when a plan row has had its state and epoch.
 	State time.Time
-	state fleet.PlanState
-	epoch uint64
+	// Progress is the time since when a plan row has also had the same number of
+	// steps done.
+	Progress time.Time
+	state    fleet.PlanState
+	epoch    uint64
+	done     int
 }
 
 // observer keeps the observations.
@@ -63,16 +83,29 @@
 
 func (o *observer) plan(now time.Time, plan fleet.Plan) Seen {
 	key := fleet.PlanKey(plan.ID)
+	old, known := o.seen[key]
 	seen := o.row(now, key, plan.Version)
-	if old, ok := o.seen[key]; ok && old.state == plan.State && old.epoch == plan.Epoch {
+	seen.State, seen.Progress = now, now
+	seen.state, seen.epoch, seen.done = plan.State, plan.Epoch, doneSteps(plan)
+	if known && old.state == seen.state && old.epoch == seen.epoch {
 		seen.State = old.State
-	} else {
-		seen.State = now
+		if old.done == seen.done {
+			seen.Progress = old.Progress
+		}
 	}
-	seen.state, seen.epoch = plan.State, plan.Epoch
 	return seen
 }
 
+func doneSteps(plan fleet.Plan) int {
+	n := 0
+	for _, m := range plan.Moves {
+		if m.Done {
+			n++
+		}
+	}
+	return n
+}
+
 func (o *observer) row(now time.Time, key string, version uint64) Seen {
 	old, ok := o.seen[key]
 	if !ok || old.Version != version || now.Sub(old.Last) > o.maxGap {
