Use shared slots and claims in the entry process

Claims go through owners, a dispatch is rechecked against its claim directly before sending, and a refusal of a request with a key says 'not run' only after a fresh claim: an earlier submission of the key may have been run. The traffic side gets a view only when what it routes by has changed.

--- a/claims/registry.go
+++ b/claims/registry.go
@@ -27,6 +27,9 @@
 	// Claim records key before dispatch. An error accompanies VerdictUnknown
 	// and names the step and the peer.
 	Claim(ctx context.Context, key Key) (Verdict, error)
+	// Dispatchable reports whether a request whose claim was VerdictFresh may be
+	// sent now. It is checked immediately before the first byte is written.
+	Dispatchable(key Key) bool
 	// Release removes a claim whose request provably was not run, so that a
 	// resubmission may run.
 	Release(ctx context.Context, key Key)
--- a/control/controller.go
+++ b/control/controller.go
@@ -44,8 +44,11 @@
 	writing   bool // A write of the members row is in progress.
 	fetching  bool // A read of rows from a peer is in progress.
 	valid     bool
-	dirty     bool
-	rollOut   *configurationSpread // Roll-out that this process measures, or nil.
+	dirty     bool // The state has changed since its publication.
+	// fleetDirty says that what the traffic side routes by has changed, too.
+	fleetDirty bool
+	published  *fleet.Snapshot
+	rollOut    *configurationSpread // Roll-out that this process measures, or nil.
 	// afterPublish is called after the next publication.
 	afterPublish []func()
 }
@@ -161,8 +164,10 @@
 
 // publish makes the state visible to other goroutines and to the traffic side.
 func (c *Controller) publish() {
-	snapshot := c.snapshot()
-	view := c.tracker.View()
+	if c.fleetDirty || c.published == nil {
+		c.published = c.snapshot()
+	}
+	snapshot, view := c.published, c.tracker.View()
 	wait, known := c.tracker.WaitUntilAllLapsed(c.options.Now())
 	next := &State{
 		Self: c.self, Fleet: snapshot, Members: view, MembersVersion: c.rows.membersVersion,
@@ -171,7 +176,10 @@
 	}
 	// The traffic side comes first: a drain query that sees the new revision in
 	// the state may rely on its being used for routing.
-	c.options.Traffic.SetView(snapshot, view, c.self)
+	if c.fleetDirty {
+		c.fleetDirty = false
+		c.options.Traffic.SetView(snapshot, view, c.self)
+	}
 	c.state.Store(next)
 }
 
@@ -228,7 +236,7 @@
 		c.options.Log.Record(eventlog.RowUnreadable, eventlog.Fields{"error": err.Error()})
 	}
 	if c.rows.revision != before {
-		c.dirty = true
+		c.markFleetDirty()
 		c.tracker.SetFleetRevision(c.options.Now(), c.rows.revision)
 	}
 	if c.rows.membersVersion != beforeMembers {
@@ -253,9 +261,11 @@
 	}
 	c.options.Peers.SetMembers(view)
 	c.options.OnMembers(view, c.self)
-	c.dirty = true
+	c.markFleetDirty()
 }
 
+func (c *Controller) markFleetDirty() { c.dirty, c.fleetDirty = true, true }
+
 // incarnationIn returns the incarnation of a member, or 0 when the view does not hold it.
 func incarnationIn(view fleet.MemberView, id fleet.MemberID) uint64 {
 	for _, m := range view.Members {
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -117,7 +117,10 @@
 	for _, vm := range m.GetLeavingVms() {
 		state.Leaving = append(state.Leaving, fleet.VMID(vm))
 	}
-	c.dirty = c.dirty || !slices.Equal(state.Leaving, c.peers[id].Leaving) || state.ConfigVersion != c.peers[id].ConfigVersion
+	if !slices.Equal(state.Leaving, c.peers[id].Leaving) {
+		c.markFleetDirty()
+	}
+	c.dirty = c.dirty || state.ConfigVersion != c.peers[id].ConfigVersion
 	c.peers[id] = state
 	c.completeRollOut()
 	idle := make(map[fleet.PoolID]int, len(m.GetIdleSlots()))
--- a/control/poll.go
+++ b/control/poll.go
@@ -81,7 +81,9 @@
 		changed = changed || !c.leaving[id]
 	}
 	c.leaving = e.leaving
-	c.dirty = c.dirty || changed
+	if changed {
+		c.markFleetDirty()
+	}
 }
 
 func (c *Controller) pollVMs(ctx context.Context) {
--- a/gateway/backend_test.go
+++ b/gateway/backend_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,6 +204,7 @@
 type registry struct {
 	verdict *claims.Verdict // Given instead of the true one.
 	seen    sync.Map
+	lapsed  atomic.Bool // Claims may no longer be dispatched.
 }
 
 func (g *registry) Claim(_ context.Context, k claims.Key) (claims.Verdict, error) {
@@ -215,6 +217,8 @@
 	return claims.VerdictFresh, nil
 }
 
+func (g *registry) Dispatchable(k claims.Key) bool { return !g.lapsed.Load() }
+
 func (g *registry) Release(_ context.Context, k claims.Key) { g.seen.Delete(k) }
 
 // site is a gateway with its surroundings.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,6 +29,7 @@
 	body       body
 	bodyRead   bool
 	claimed    *claims.Key // The claim to release when the request is not run.
+	claimTried bool
 
 	// exchangeContext bounds the exchanges by the deadline. It outlives the
 	// caller's connection: the backend server may go on after a cancellation, so
@@ -103,6 +104,7 @@
 	if c.idempotent || c.key == "" {
 		return nil
 	}
+	c.claimTried = true
 	key := claims.Key{Service: string(c.route.Name), Customer: string(c.customer), Value: c.key}
 	verdict, err := c.g.options.Claims.Claim(ctx, key)
 	switch verdict {
@@ -121,6 +123,13 @@
 
 // refuse answers the caller on the gateway's own behalf.
 func (c *call) refuse(ref *refusal) {
+	if ref.outcome == OutcomeNotRun && !c.claimTried && c.route != nil {
+		// An earlier submission of the key may have been run, and "not run" is
+		// about the caller's order. Only a fresh claim rules that out.
+		if doubt := c.claim(context.WithoutCancel(c.r.Context())); doubt != nil && doubt.outcome == OutcomeUnknown {
+			ref = doubt
+		}
+	}
 	if ref.outcome == OutcomeNotRun && c.claimed != nil {
 		c.g.options.Claims.Release(context.WithoutCancel(c.r.Context()), *c.claimed)
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -15,6 +15,9 @@
 // errTargetInvalid reports that the recheck before the first byte failed.
 var errTargetInvalid = errors.New("the target may no longer be sent requests")
 
+// errClaimLapsed reports that the process was paused for too long after its claim.
+var errClaimLapsed = errors.New("the claim of the idempotency key may no longer be dispatched")
+
 // dispatch makes attempts until one is answered or none is allowed any more.
 func (c *call) dispatch(ctx context.Context) *refusal {
 	c.route.budget.Deposit()
@@ -79,6 +82,9 @@
 	if !c.reservation.Valid() {
 		return errTargetInvalid
 	}
+	if c.claimed != nil && !c.g.options.Claims.Dispatchable(*c.claimed) {
+		return errClaimLapsed
+	}
 	return c.r.Context().Err()
 }
 
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -36,7 +36,7 @@
 	platform   *store.HTTPPlatform
 	node       *peer.Node
 	router     *routing.Router
-	claims     claims.Registry
+	claims     *claims.Service
 	exchange   *exchange.Pooled
 	controller *control.Controller
 	driver     *plans.Driver
@@ -47,7 +47,7 @@
 
 // New builds a process from settings. It listens for peers, but does nothing else before Run.
 func New(s settings.Settings) (*Process, error) {
-	p := &Process{settings: s, claims: &localClaims{}}
+	p := &Process{settings: s}
 	steps := []struct {
 		name  string
 		build func() error
@@ -111,13 +111,29 @@
 }
 
 func (p *Process) buildTraffic() (err error) {
-	p.router = routing.New(routing.Options{})
+	p.router = routing.New(routing.Options{Peers: peering.New(p.node)})
+	peering.ServeSlots(p.node, p.router)
+	p.claims, err = claims.New(p.claimsConfig())
+	if err != nil {
+		return err
+	}
+	p.claims.Register(p.node)
 	p.exchange, err = exchange.New(exchange.Options{
 		DialTimeout: p.settings.Timeouts.Dial, ResponseBufferSize: int(p.settings.Limits.ResponseBuffer),
 	})
 	return err
 }
 
+// claimsConfig fills in the defaults that the settings do not name.
+func (p *Process) claimsConfig() claims.Config {
+	return claims.Config{
+		Self: p.settings.Member, Transport: claims.PeerTransport{Node: p.node},
+		// The control loop is built later; no claim is made before it runs.
+		Valid: func() bool { return p.controller != nil && p.controller.Valid() },
+		Now:   control.BootTime, Window: p.settings.Limits.ClaimWindow, MaxRecords: p.settings.Limits.Claims,
+	}
+}
+
 func (p *Process) buildControl() (err error) {
 	p.controller, err = control.New(control.Options{
 		Self: p.self(), Table: p.table, Platform: p.platform, Peers: peering.New(p.node), Traffic: p.router,
@@ -136,8 +152,10 @@
 	return err
 }
 
-// adoptMembers divides the connections of each worker between the members.
+// adoptMembers gives the member view to the claims and divides the connections
+// of each worker between the members.
 func (p *Process) adoptMembers(view fleet.MemberView, _ fleet.Member) {
+	p.claims.SetView(view)
 	if n := len(view.Members); n > 0 {
 		p.exchange.SetConnectionLimit(max(1, connectionsPerWorker/n))
 	}
@@ -245,6 +263,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Timeouts.Stop)
 	defer cancel()
 	err := named("drain callers", p.callers.Shutdown(ctx))
+	p.handOverClaims(ctx)
 	err = errors.Join(err, named("leave the member view", p.controller.Leave(ctx)))
 	err = errors.Join(err, named("stop administration", p.admin.Shutdown(ctx)))
 	code := eventlog.ProcessStopped
@@ -255,6 +274,17 @@
 	return err
 }
 
+// handOverClaims gives the claims to their next owners. A failure is not an
+// error of the stop: the next owners recover the claims from dispatch records.
+func (p *Process) handOverClaims(ctx context.Context) {
+	defer p.claims.Close()
+	if err := p.claims.Handover(ctx); err != nil {
+		p.log.Record(eventlog.ClaimHandoverFailed, eventlog.Fields{"error": err.Error()})
+		return
+	}
+	p.log.Record(eventlog.ClaimsHandedOver, eventlog.Fields{"records": p.claims.Stats().Records})
+}
+
 func named(step string, err error) error {
 	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
