Keep a spilled pool spilled and judge error rates against the pool

Two tests of failures found faults. The pool alternated between zones (9 changes in 7.5 s just above the local capacity), because spilling lowers the local load that ended the spill; the whole load of the pool against the local slots now ends it (1 change). With a fault that all backend servers share, four of nine were ejected, because those tried less often still had a low smoothed rate; rates are now corrected for the number of samples (none ejected).

--- /dev/null
+++ b/routing/flow_test.go
@@ -0,0 +1,243 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/limits/slots"
+)
+
+// Guards against alternating between zones at the point of saturation: with
+// the load just above the local slots the pool spills once and stays spilled.
+func TestSpillDoesNotFlap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(snapshot(9), Options{})
+		p := r.pools[testPool]
+		var held []Reservation
+		for range 6 {
+			held = append(held, acquire(t, r, Request{}))
+			assert.Equal(t, held[len(held)-1].Target().Zone, self.Zone)
+		}
+		assert.Assert(t, !p.spill.active)
+		for i := range 500 {
+			held = append(held, acquire(t, r, Request{}))
+			if i%2 == 0 {
+				held = append(held, acquire(t, r, Request{}))
+			}
+			time.Sleep(10 * time.Millisecond)
+			for len(held) > 6 {
+				held[0].Done(ResultAnswered)
+				held = held[1:]
+			}
+		}
+		assert.Assert(t, p.spill.active)
+		assert.Equal(t, p.spill.changes, 1)
+		for _, h := range held {
+			h.Done(ResultAnswered)
+		}
+		for range 200 {
+			acquire(t, r, Request{}).Done(ResultAnswered)
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Equal(t, p.spill.changes, 2)
+		assert.Equal(t, acquire(t, r, Request{}).Target().Zone, self.Zone)
+	})
+}
+
+// Guards against a flood of one customer that makes the requests of another
+// one late: all of the other's requests must be answered within 200 ms.
+func TestFloodLeavesOthersInsideTheirBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(snapshot(6), Options{})
+		var mu sync.Mutex
+		answered, shed := map[fleet.CustomerID]int{}, map[fleet.CustomerID]int{}
+		var all sync.WaitGroup
+		send := func(customer fleet.CustomerID, budget time.Duration) {
+			all.Go(func() {
+				h, err := r.Acquire(t.Context(), Request{
+					Pool: testPool, Customer: customer, Deadline: time.Now().Add(budget), MaxQueue: 100,
+				})
+				if err == nil {
+					time.Sleep(20 * time.Millisecond)
+					h.Done(ResultAnswered)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					shed[customer]++
+				} else {
+					answered[customer]++
+				}
+			})
+		}
+		// 12 slots serve 600 requests per second; the flood sends 3,000.
+		for i := range 3000 {
+			send("flood", time.Second)
+			if i%30 == 0 {
+				send("quiet", 200*time.Millisecond)
+			}
+			time.Sleep(time.Second / 3000)
+		}
+		all.Wait()
+		assert.Equal(t, shed["quiet"], 0)
+		assert.Equal(t, answered["quiet"], 100)
+		assert.Assert(t, shed["flood"] > 1000 && answered["flood"] > 400, "%v %v", answered, shed)
+	})
+}
+
+// mesh connects routers directly, with a delay per message.
+type mesh map[fleet.MemberID]*Router
+
+func (m mesh) Borrow(_ context.Context, id fleet.MemberID, q slots.BorrowRequest) (slots.BorrowReply, error) {
+	time.Sleep(time.Millisecond)
+	defer time.Sleep(time.Millisecond)
+	return m[id].Lend(q), nil
+}
+
+func (m mesh) Return(_ context.Context, id fleet.MemberID, q slots.ReturnRequest) error {
+	time.Sleep(time.Millisecond)
+	m[id].TakeBack(q)
+	return nil
+}
+
+func (m mesh) heartbeat() {
+	for id, from := range m {
+		idle := from.IdleSlots()
+		for other, to := range m {
+			if other != id {
+				to.ReportIdle(id, idle)
+			}
+		}
+	}
+}
+
+// newMesh returns n routers over the same fleet, one per zone.
+func newMesh(s *fleet.Snapshot, n int) (mesh, fleet.MemberView) {
+	m, view := mesh{}, fleet.MemberView{Version: 1}
+	for i := range n {
+		zone := fleet.ZoneID("abc"[i%3 : i%3+1])
+		view.Members = append(view.Members, fleet.Member{ID: fleet.MemberID(fmt.Sprint("entry-", i)), Zone: zone})
+	}
+	for _, member := range view.Members {
+		r := New(Options{Peers: m})
+		r.SetValidity(func() bool { return true })
+		r.SetView(s, view, member)
+		m[member.ID] = r
+	}
+	return m, view
+}
+
+// Guards against idle slots of peers staying unused, borrowed slots not coming
+// back, and one slot being held twice.
+func TestBorrowsAndReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, _ := newMesh(snapshot(9), 3)
+		m.heartbeat()
+		held := map[slots.Slot]Reservation{}
+		var mu sync.Mutex
+		for range 15 {
+			go func() {
+				h, err := m["entry-0"].Acquire(t.Context(), Request{Pool: testPool})
+				mu.Lock()
+				defer mu.Unlock()
+				assert.Check(t, err)
+				key := slots.Slot{VM: h.Target().VM, Index: h.Target().Slot}
+				assert.Check(t, held[key] == nil, "%v is held twice", key)
+				held[key] = h
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, len(held), 15, "6 of its own slots and 9 borrowed ones")
+		for _, h := range held {
+			assert.Assert(t, h.Valid())
+		}
+		time.Sleep(500 * time.Millisecond) // The leases end while the slots are busy.
+		for _, h := range held {
+			h.Done(ResultAnswered)
+		}
+		time.Sleep(100 * time.Millisecond)
+		for id, r := range m {
+			assert.Equal(t, r.IdleSlots()[testPool], 6, string(id))
+		}
+	})
+}
+
+// Guards against a member that joins waiting the full time although the
+// previous homes are alive, and against slots that are lost for ever.
+func TestJoinHandsOverEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := snapshot(9)
+		m, _ := newMesh(s, 2)
+		joiner := fleet.Member{ID: "entry-2", Zone: "c"}
+		view := fleet.MemberView{Version: 2, Members: []fleet.Member{{ID: "entry-0", Zone: "a"}, {ID: "entry-1", Zone: "b"}, joiner}}
+		m["entry-2"] = New(Options{Peers: m})
+		m["entry-2"].SetValidity(func() bool { return true })
+		m["entry-2"].SetView(s, view, joiner)
+		assert.Equal(t, m["entry-2"].IdleSlots()[testPool], 0)
+		for _, other := range view.Members[:2] {
+			m[other.ID].SetView(s, view, other)
+		}
+		time.Sleep(10 * time.Millisecond)
+		for id, r := range m {
+			assert.Equal(t, r.IdleSlots()[testPool], 6, string(id))
+		}
+		for i, other := range view.Members[:2] {
+			m[other.ID].SetView(s, fleet.MemberView{Version: 3, Members: view.Members[:2]}, view.Members[i])
+		}
+		delete(m, "entry-2")
+		time.Sleep(slots.DefaultValidity + slots.DefaultInFlight)
+		assert.Equal(t, m["entry-0"].IdleSlots()[testPool]+m["entry-1"].IdleSlots()[testPool], 18)
+	})
+}
+
+// Guards against data races, lost wake-ups and leaked slots when everything
+// happens at once. The clock is real; the requests end at once.
+func TestConcurrentUse(t *testing.T) {
+	s := snapshot(9)
+	m, view := newMesh(s, 3)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	var all sync.WaitGroup
+	for i := range 24 {
+		r := m[view.Members[i%3].ID]
+		all.Go(func() {
+			for n := range 200 {
+				h, err := r.Acquire(ctx, Request{Pool: testPool, Customer: fleet.CustomerID(fmt.Sprint(i)), Deadline: time.Now().Add(10 * time.Second)})
+				if err != nil {
+					t.Errorf("request %d: %v", n, err)
+					return
+				}
+				h.Valid()
+				h.Done(ResultAnswered)
+			}
+		})
+	}
+	all.Go(func() {
+		for n := range 100 {
+			m.heartbeat()
+			next := s
+			if n%2 == 0 {
+				next = change(s, "vm-03", func(vm *fleet.VM) { vm.Phase = fleet.PhaseDraining })
+			}
+			next.Revision = 0
+			for _, member := range view.Members {
+				m[member.ID].SetView(next, view, member)
+				m[member.ID].InFlight("vm-03", 0)
+			}
+		}
+	})
+	all.Wait()
+	for id := range s.VMs {
+		for member, r := range m {
+			assert.Equal(t, r.InFlight(id, 0), 0, string(member))
+		}
+	}
+}
--- a/routing/health.go
+++ b/routing/health.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Constants of the error rate of a backend server.
 const (
@@ -100,13 +103,16 @@
 	}
 }
 
-// meanRate returns the mean error rate of the other backend servers.
+// meanRate returns the mean error rate of the other backend servers that have
+// been tried. Their rates are corrected for the start at 0, so that a fault
+// that all share shows after the first attempts on each.
 func (p *pool) meanRate(b *backend) float64 {
-	sum := 0.0
+	sum, tried := 0.0, 0
 	for _, other := range p.backends {
-		if other != b {
-			sum += other.health.rate
+		if h := &other.health; other != b && h.samples > 0 {
+			sum += h.rate / (1 - math.Pow(1-rateSmoothing, float64(h.samples)))
+			tried++
 		}
 	}
-	return sum / float64(max(len(p.backends)-1, 1))
+	return sum / float64(max(tried, 1))
 }
--- /dev/null
+++ b/routing/health_test.go
@@ -0,0 +1,142 @@
+package routing
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/fleet"
+)
+
+// answer runs n requests of 10 ms one after another; backend servers in bad
+// fail at once with the result. It counts the attempts on them.
+func answer(t *testing.T, r *Router, n int, bad map[fleet.VMID]bool, result Result) (onBad int) {
+	for range n {
+		h := acquire(t, r, Request{})
+		if bad[h.Target().VM] {
+			onBad++
+			h.Done(result)
+			continue
+		}
+		time.Sleep(10 * time.Millisecond)
+		h.Done(ResultAnswered)
+	}
+	return onBad
+}
+
+// Guards against a backend server that fails fast, and is therefore always
+// idle, attracting the traffic.
+func TestFastFailingBackendServerDoesNotAttractTraffic(t *testing.T) {
+	for _, result := range []Result{ResultNotWritten, ResultServerError, ResultBroken} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRouter(snapshot(9), Options{})
+			onBad := answer(t, r, 1000, map[fleet.VMID]bool{"vm-03": true}, result)
+			assert.Assert(t, onBad > 0 && onBad < 20, "result %d: %d of 1000 requests", result, onBad)
+			assert.Equal(t, r.InFlight("vm-03", 0), 0)
+		})
+	}
+}
+
+// Guards against ejecting more than half of a pool, and against ejecting
+// anything because all fail alike.
+func TestEjectionIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := map[fleet.VMID]bool{}
+		s := snapshot(9)
+		for id := range s.VMs {
+			all[id] = true
+		}
+		r := newRouter(s, Options{})
+		answer(t, r, 500, all, ResultNotWritten)
+		assert.Equal(t, ejected(r), 4)
+		r = newRouter(s, Options{})
+		answer(t, r, 500, all, ResultServerError)
+		assert.Equal(t, ejected(r), 0)
+		r = newRouter(snapshot(1), Options{})
+		answer(t, r, 50, all, ResultNotWritten)
+		assert.Equal(t, ejected(r), 0)
+	})
+}
+
+func ejected(r *Router) int {
+	n := 0
+	for _, b := range r.pools[testPool].backends {
+		if b.health.ejected(time.Now()) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a full load on a backend server that has just come back, and
+// against one that never comes back.
+func TestGradualReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := snapshot(2)
+		for id, vm := range s.VMs {
+			vm.Slots = 4
+			s.VMs[id] = vm
+		}
+		r := newRouter(s, Options{})
+		bad := map[fleet.VMID]bool{"vm-00": true}
+		answer(t, r, 250, bad, ResultNotWritten) // 2.5 s: the third refusal follows the suspicion of 2 s.
+		assert.Equal(t, ejected(r), 1)
+		time.Sleep(2 * time.Second)
+		for want := 1; want <= 4; want++ {
+			var held []Reservation
+			onBad := 0
+			for range 4 + want {
+				h := acquire(t, r, Request{})
+				held = append(held, h)
+				if bad[h.Target().VM] {
+					onBad++
+				}
+			}
+			assert.Equal(t, onBad, want)
+			for i, h := range held {
+				if bad[h.Target().VM] {
+					h.Done(ResultAnswered)
+					held[i] = nil
+					break
+				}
+			}
+			for _, h := range held {
+				if h != nil {
+					h.(*reservation).cancel()
+				}
+			}
+		}
+	})
+}
+
+// Guards against a second ejection that is no longer than the first one.
+func TestRepeatedEjectionDoubles(t *testing.T) {
+	o := EjectionOptions{}.withDefaults()
+	h, now := health{}, time.Now()
+	for _, want := range []time.Duration{2, 4, 8, 16, 32, 60, 60} {
+		h.eject(now, o)
+		assert.Equal(t, h.ejectedUntil.Sub(now), want*time.Second)
+		now = h.ejectedUntil
+	}
+	h.eject(now.Add(61*time.Second), o)
+	assert.Equal(t, h.ejections, 1)
+}
+
+// Guards against blaming a backend server for requests that this process
+// itself did not send.
+func TestInvalidReservationIsNotAFailure(t *testing.T) {
+	valid := true
+	r := newRouter(snapshot(2), Options{})
+	r.SetValidity(func() bool { return valid })
+	for range 10 {
+		valid = true
+		h := acquire(t, r, Request{})
+		valid = false
+		assert.Assert(t, !h.Valid())
+		h.Done(ResultNotWritten)
+	}
+	assert.Equal(t, ejected(r), 0)
+	assert.Equal(t, r.backends["vm-00"].health.samples, 0)
+}
--- a/routing/options.go
+++ b/routing/options.go
@@ -47,8 +47,8 @@
 
 // SpillOptions configure when a pool leaves the local availability zone.
 type SpillOptions struct {
-	// CalmShare is the share of local slots that must be free for a return to
-	// local backend servers only. Default 0.5.
+	// CalmShare is the share of local slots that would have to be free under
+	// the pool's whole load for a return to local backend servers. Default 0.5.
 	CalmShare float64
 	// CalmTime is the time for which that must hold. Default 1 s.
 	CalmTime time.Duration
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -61,15 +61,15 @@
 	}
 	var best *backend
 	var bestChoice choice
-	var local load
+	var total load
 	stay := false // A local backend server could take the request.
 	for i, at := 0, int(start%uint64(n)); i < n; i, at = i+1, at+1 {
 		if at == n {
 			at = 0
 		}
 		b := p.backends[at]
-		if p.spill.active && b.near {
-			local.add(b)
+		if p.spill.active {
+			total.add(b)
 		}
 		if b.worker.Free() == 0 {
 			continue
@@ -84,6 +84,6 @@
 			best, bestChoice = b, c
 		}
 	}
-	p.spill.update(now, local, best != nil && bestChoice.remote && !stay)
+	p.spill.update(now, total, best != nil && bestChoice.remote && !stay)
 	return best
 }
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -5,34 +5,39 @@
 	"time"
 )
 
-// load counts the usable and the free slots of a set of backend servers.
-type load struct{ usable, free int }
+// load counts the slots that this process may use in its own zone and the
+// slots that it holds in the whole pool.
+type load struct{ local, busy int }
 
 func (l *load) add(b *backend) {
-	l.usable += bits.OnesCount64(b.worker.Usable())
-	l.free += bits.OnesCount64(b.worker.Free())
+	if b.near {
+		l.local += bits.OnesCount64(b.worker.Usable())
+	}
+	l.busy += bits.OnesCount64(b.worker.Busy())
 }
 
 // spill decides whether a pool uses other availability zones as much as its
 // own. It starts to when a request finds no local slot, and stops when the
-// local slots have had room for some time; in between it does not alternate.
+// local slots would have had room for the whole load for some time. The load
+// of the local slots alone would not do: spilling lowers it, so that the pool
+// would alternate.
 type spill struct {
 	options SpillOptions
 	active  bool
-	calm    time.Time // Since when the local slots have had room, or zero.
+	calm    time.Time // Since when the local slots would have had room, or zero.
 	changes int       // Number of changes of active.
 }
 
-// update records the local load at a choice, and whether a request left the
-// zone for lack of a local slot.
-func (s *spill) update(now time.Time, local load, left bool) {
+// update records the load at a choice, and whether a request left the zone for
+// lack of a local slot.
+func (s *spill) update(now time.Time, l load, left bool) {
 	if !s.active {
 		if left {
 			s.set(true)
 		}
 		return
 	}
-	if local.usable == 0 || float64(local.free) < s.options.CalmShare*float64(local.usable) {
+	if l.local == 0 || float64(l.local-l.busy) < s.options.CalmShare*float64(l.local) {
 		s.calm = time.Time{}
 		return
 	}
