Repeat handovers of slots until they are delivered

A member that joined had no session yet when the previous homes handed their slots over, so the message was lost and the member waited out their validity. The new test fails without the repetition.

--- a/routing/borrow.go
+++ b/routing/borrow.go
@@ -183,10 +183,36 @@
 			return
 		}
 		for _, l := range batch {
-			ctx, cancel := context.WithTimeout(context.Background(), r.options.Borrow.Timeout)
-			// A lost return or handover costs time only.
-			_ = r.options.Peers.Return(ctx, l.member, l.ReturnRequest)
-			cancel()
+			// A lost return costs time only. It must not be repeated: it could end a later loan.
+			if err := r.deliverOne(l); err != nil && l.View != 0 {
+				go r.repeatHandover(l)
+			}
+		}
+	}
+}
+
+func (r *Router) deliverOne(l letter) error {
+	ctx, cancel := context.WithTimeout(context.Background(), r.options.Borrow.Timeout)
+	defer cancel()
+	return r.options.Peers.Return(ctx, l.member, l.ReturnRequest)
+}
+
+const (
+	// handoverInterval is the time between attempts to deliver a handover.
+	handoverInterval = 100 * time.Millisecond
+	// handoverAttempts covers the time after which the new home uses the slots
+	// without a handover, which is 5 s with the default limits.
+	handoverAttempts = 50
+)
+
+// repeatHandover repeats a handover that failed. A member that has just joined
+// often has no session yet. Repetitions are harmless, because a handover names
+// the view that it is about.
+func (r *Router) repeatHandover(l letter) {
+	for range handoverAttempts {
+		time.Sleep(handoverInterval)
+		if r.deliverOne(l) == nil {
+			return
 		}
 	}
 }
--- a/routing/flow_test.go
+++ b/routing/flow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -198,6 +199,40 @@
 	})
 }
 
+// lateMesh has no session to any member before a time.
+type lateMesh struct {
+	mesh
+	sessions time.Time
+}
+
+func (m lateMesh) Return(ctx context.Context, id fleet.MemberID, q slots.ReturnRequest) error {
+	if time.Now().Before(m.sessions) {
+		return errors.New("no session")
+	}
+	return m.mesh.Return(ctx, id, q)
+}
+
+// Guards against a member that joins and waits for the previous homes' validity
+// because the handover came before its session: measured as a p99 of 200 ms
+// instead of 66 ms in the first seconds of three processes.
+func TestHandoverIsRepeatedUntilDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, m := snapshot(9), mesh{}
+		late := lateMesh{m, time.Now().Add(time.Second)}
+		first, joiner := fleet.Member{ID: "entry-0", Zone: "a"}, fleet.Member{ID: "entry-1", Zone: "b"}
+		for _, member := range []fleet.Member{first, joiner} {
+			m[member.ID] = New(Options{Peers: late})
+			m[member.ID].SetValidity(func() bool { return true })
+		}
+		m["entry-0"].SetView(s, fleet.MemberView{Version: 1, Members: []fleet.Member{first}}, first)
+		view := fleet.MemberView{Version: 2, Members: []fleet.Member{first, joiner}}
+		m["entry-1"].SetView(s, view, joiner)
+		m["entry-0"].SetView(s, view, first)
+		time.Sleep(1500 * time.Millisecond)
+		assert.Assert(t, m["entry-1"].IdleSlots()[testPool] > 0)
+	})
+}
+
 // Guards against data races, lost wake-ups and leaked slots when everything
 // happens at once. The clock is real; the requests end at once.
 func TestConcurrentUse(t *testing.T) {
