--- a/gateway/body.go
+++ b/gateway/body.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"time"
 )
 
 const (
@@ -57,10 +56,9 @@
 	if c.deadline.Before(until) {
 		until = c.deadline
 	}
-	control := http.NewResponseController(c.w)
-	_ = control.SetReadDeadline(until) // Unsupported only by test recorders.
+	// net/http clears the read deadline when the body has been read to its end.
+	_ = http.NewResponseController(c.w).SetReadDeadline(until) // Unsupported only by test recorders.
 	ref := c.fillBody()
-	_ = control.SetReadDeadline(time.Time{})
 	c.bodyRead = ref == nil
 	return ref
 }
