Delete old ended plans and simulate two plans at once

Ended plans and intents stayed in the table for good: at 49 plans per day every process would load some 18,000 plan rows after a year. The oldest beyond 200 are now deleted when an intent is created.

With a second plan the simulation found that a cancelled shrink leaves the pool below its capacity. The VMs that have left are not brought back, since that would be new moves that nobody asked for; the plan says so instead.

--- a/control/plans/admin.go
+++ b/control/plans/admin.go
@@ -31,6 +31,8 @@
 type Admin struct {
 	Table   store.Table
 	Planner planner.Options
+	// RetainPlans is the number of ended plans that stay in the table. Default 200.
+	RetainPlans int
 }
 
 // CreateIntent plans for an intent and stores both. It assigns the intent's ID
@@ -55,6 +57,7 @@
 		return fleet.Plan{}, fmt.Errorf("create intent %s: %w", intent.ID, ErrExists)
 	}
 	plan.Version = result.Revision
+	a.prune(ctx, s)
 	return plan, nil
 }
 
--- a/control/plans/admin_test.go
+++ b/control/plans/admin_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 
@@ -102,3 +105,21 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(s.Intents), 1)
 }
+
+// Guards against ended plans that accumulate, and against the loss of plans
+// that have not ended.
+func TestEndedPlansArePruned(t *testing.T) {
+	a, _ := newAdmin(t)
+	a.RetainPlans = 2
+	for i := range 6 {
+		plan := create(t, a, fleet.Intent{ID: fleet.IntentID(fmt.Sprint(i)), Kind: fleet.IntentEmptyRack, Rack: "rack-0000"})
+		if i != 0 {
+			_, err := a.Reject(context.Background(), plan.ID, "")
+			assert.NilError(t, err)
+		}
+	}
+	s, err := LoadSnapshot(context.Background(), a.Table)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, slices.Sorted(maps.Keys(s.Plans)), []fleet.PlanID{"plan-0", "plan-3", "plan-4", "plan-5"})
+	assert.Equal(t, len(s.Intents), 4)
+}
--- a/control/plans/driver_test.go
+++ b/control/plans/driver_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -23,49 +25,73 @@
 	admin := &Admin{Table: w.table.Client("admin")}
 	ctx := context.Background()
 	intents := []fleet.Intent{
-		{ID: "i", Kind: fleet.IntentPoolCapacity, Pool: "till", Capacity: 4},
-		{ID: "i", Kind: fleet.IntentPoolCapacity, Pool: "web", Capacity: 1},
-		{ID: "i", Kind: fleet.IntentEmptyRack, Rack: "rack-0000"},
-		{ID: "i", Kind: fleet.IntentEmptyRack, Rack: "rack-0001"},
+		{Kind: fleet.IntentPoolCapacity, Pool: "till", Capacity: 4}, {Kind: fleet.IntentPoolCapacity, Pool: "web", Capacity: 1},
+		{Kind: fleet.IntentEmptyRack, Rack: "rack-0000"}, {Kind: fleet.IntentEmptyRack, Rack: "rack-0001"},
 	}
-	plan, err := admin.CreateIntent(ctx, w.load(), intents[draw(len(intents))])
-	w.check(err)
-	_, err = admin.Confirm(ctx, plan.ID)
-	w.check(err)
+	for _, id := range []fleet.IntentID{"i", "j"} {
+		intent := intents[draw(len(intents))]
+		intent.ID = id
+		plan, err := admin.CreateIntent(ctx, w.load(), intent)
+		w.check(err)
+		w.plans = append(w.plans, plan)
+	}
+	w.confirm(admin, 0)
 	w.fails = draw(5)
 	for range 20 + draw(200) {
-		if w.event(admin, plan.ID); w.err != nil {
+		if w.event(admin); w.err != nil {
 			return w.err
 		}
 	}
-	state := w.settle(plan.ID)
-	if state == fleet.PlanBlocked {
-		_, err = admin.Cancel(ctx, plan.ID, "blocked")
-		w.check(err)
-		if state = w.settle(plan.ID); state != fleet.PlanCancelled {
-			w.check(fmt.Errorf("a blocked plan that was cancelled is %s", state))
-		}
+	for i, plan := range w.plans {
+		w.end(admin, plan, i == 0)
 	}
-	w.released(plan, state)
+	w.released()
 	return w.err
 }
 
-// released checks that an ended plan has left every VM serving and unreserved.
-func (w *sim) released(plan fleet.Plan, state fleet.PlanState) {
+// end settles a plan. A plan that is blocked or was not confirmed is cancelled.
+func (w *sim) end(admin *Admin, plan fleet.Plan, mustRun bool) {
+	state := w.settle(plan.ID)
+	if state.Ended() {
+		return
+	}
+	if state == fleet.PlanProposed && mustRun {
+		w.check(fmt.Errorf("plan %s was confirmed and is proposed", plan.ID))
+	}
+	_, err := admin.Cancel(context.Background(), plan.ID, "test")
+	w.check(err)
+	if state = w.settle(plan.ID); state != fleet.PlanCancelled {
+		w.check(fmt.Errorf("plan %s was cancelled and is %s", plan.ID, state))
+	}
+}
+
+// released checks that the plans have left every VM serving and unreserved, and
+// no pool below its capacity without a warning.
+func (w *sim) released() {
 	s := w.load()
 	for id, vm := range s.VMs {
 		if vm.Phase != fleet.PhaseServing || vm.Plan != "" || vm.Pool == "" {
-			w.check(fmt.Errorf("plan is %s and VM %s is left as %+v", state, id, vm))
+			w.check(fmt.Errorf("all plans have ended and VM %s is left as %+v", id, vm))
 		}
 	}
 	for id, pool := range s.Pools {
 		if pool.Plan != "" {
-			w.check(fmt.Errorf("plan is %s and pool %s is still reserved", state, id))
+			w.check(fmt.Errorf("all plans have ended and pool %s is still reserved", id))
 		}
 	}
-	intent := plan.Intent
-	if state == fleet.PlanDone && intent.Kind == fleet.IntentPoolCapacity && serving(s)[intent.Pool] != intent.Capacity {
-		w.check(fmt.Errorf("the plan is done and pool %s holds %d VMs", intent.Pool, serving(s)[intent.Pool]))
+	for _, p := range w.plans {
+		intent := p.Intent
+		if s.Plans[p.ID].State == fleet.PlanDone && intent.Kind == fleet.IntentPoolCapacity && s.Pools[intent.Pool].Capacity != intent.Capacity {
+			w.check(fmt.Errorf("plan %s is done and pool %s has capacity %d", p.ID, intent.Pool, s.Pools[intent.Pool].Capacity))
+		}
+	}
+	for id, pool := range s.Pools {
+		warned := slices.ContainsFunc(w.plans, func(p fleet.Plan) bool {
+			return strings.Contains(strings.Join(s.Plans[p.ID].Warnings, "\n"), "cancelled: pool "+string(id)+" is left")
+		})
+		if n := serving(s)[id]; !pool.Spare && !warned && n < pool.Capacity {
+			w.check(fmt.Errorf("pool %s ends with %d serving VMs, below its capacity of %d", id, n, pool.Capacity))
+		}
 	}
 }
 
--- a/control/plans/end.go
+++ b/control/plans/end.go
@@ -1,6 +1,7 @@
 package plans
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -53,6 +54,9 @@
 			pool.Capacity = intent.Capacity
 		}
 		d.rows = append(d.rows, row{fleet.PoolKey(id), pool.Version, pool})
+		if n := d.serving[id]; state == fleet.PlanCancelled && n < pool.Capacity {
+			next.Warnings = append(slices.Clip(next.Warnings), fmt.Sprintf("cancelled: pool %s is left with %d serving VMs, below its capacity of %d", id, n, pool.Capacity))
+		}
 	}
 	d.reasons = append(d.reasons, "the plan is "+string(state))
 }
--- a/control/plans/sim_test.go
+++ b/control/plans/sim_test.go
@@ -41,6 +41,7 @@
 	epoch   uint64         // Epoch under which the writer decided.
 	err     error          // First violation.
 	starts  int            // Number of drivers started.
+	plans   []fleet.Plan   // The first is confirmed, the second perhaps later.
 }
 
 type simDriver struct {
@@ -196,7 +197,7 @@
 func (e simEnvironment) Probe(context.Context, fleet.VM) error { return nil }
 
 // event performs one drawn event and checks the invariants.
-func (w *sim) event(admin *Admin, plan fleet.PlanID) {
+func (w *sim) event(admin *Admin) {
 	i := w.draw(2)
 	w.now = w.now.Add(time.Duration(w.draw(5)) * 100 * time.Millisecond)
 	switch w.draw(12) {
@@ -215,7 +216,7 @@
 	case 10:
 		w.takeover(i)
 	case 11:
-		w.cancel(admin, plan)
+		w.operator(admin)
 	}
 	w.invariants()
 }
@@ -231,11 +232,24 @@
 	w.apply(i)
 }
 
-func (w *sim) cancel(admin *Admin, plan fleet.PlanID) {
-	if w.draw(20) > 0 {
-		return
+// operator cancels a plan or confirms the second one.
+func (w *sim) operator(admin *Admin) {
+	switch w.draw(20) {
+	case 0:
+		if _, err := admin.Cancel(context.Background(), w.plans[w.draw(2)].ID, "test"); err != nil && !errors.Is(err, ErrState) {
+			w.check(err)
+		}
+	case 1, 2, 3:
+		w.confirm(admin, 1)
 	}
-	if _, err := admin.Cancel(context.Background(), plan, "test"); err != nil && !errors.Is(err, ErrState) {
+}
+
+// confirm confirms a plan. The second may be refused, because it conflicts with
+// the first or has been cancelled.
+func (w *sim) confirm(admin *Admin, i int) {
+	var refused *RefusedError
+	_, err := admin.Confirm(context.Background(), w.plans[i].ID)
+	if i == 0 || (!errors.As(err, &refused) && !errors.Is(err, ErrState)) {
 		w.check(err)
 	}
 }
@@ -333,7 +347,7 @@
 			clear(m.inFlight)
 		}
 		w.invariants()
-		if state := w.load().Plans[plan].State; state.Ended() || state == fleet.PlanBlocked {
+		if state := w.load().Plans[plan].State; !state.Driven() {
 			return state
 		}
 	}
--- a/store/table.go
+++ b/store/table.go
@@ -111,7 +111,8 @@
 	// Rows reads rows. When etag is not empty and still current, Unchanged is set.
 	Rows(ctx context.Context, prefix string, since Version, etag string) (Rows, error)
 	// Commit sends tx once. An error that wraps ErrNotSent proves that nothing
-	// was sent; after any other error the outcome is unknown.
+	// was sent, one that wraps ErrInvalid that the service refused to execute
+	// it; after any other error the outcome is unknown.
 	Commit(ctx context.Context, tx Transaction) (Result, error)
 	// Peer names the other side, for errors.
 	Peer() string
