--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -142,6 +142,18 @@
 	})
 }
 
+// Guards against examples in the documentation that are refused.
+func TestExamplesOfPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	parts := strings.Split(string(page), "```")
+	assert.Assert(t, len(parts) == 5)
+	_, err = Parse("settings", []byte(strings.TrimPrefix(parts[1], "yaml")))
+	assert.NilError(t, err)
+	_, err = ParseServices("services", []byte(strings.TrimPrefix(parts[3], "yaml")))
+	assert.NilError(t, err)
+}
+
 // Guards against files that are empty, too large or not a mapping.
 func TestNotASettingsFile(t *testing.T) {
 	for text, want := range map[string]string{
