--- a/eventlog/metrics/metrics.go
+++ b/eventlog/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -24,6 +25,11 @@
 	// maxLabelSets bounds the label sets of one instrument; the SDK counts
 	// further ones under one overflow label set.
 	maxLabelSets = 4096
+
+	headerTimeout  = 5 * time.Second
+	writeTimeout   = 30 * time.Second
+	idleTimeout    = 2 * time.Minute // Longer than usual scrape intervals.
+	maxHeaderBytes = 16 << 10
 )
 
 // latencyBounds are the histogram's bucket bounds, in seconds. They surround
@@ -81,6 +87,19 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// NewHTTPServer returns an HTTP server that serves the metrics at /metrics.
+func (m *Metrics) NewHTTPServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	return &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: headerTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
 // Shutdown releases the instruments.
 func (m *Metrics) Shutdown(ctx context.Context) error {
 	if err := m.provider.Shutdown(ctx); err != nil {
--- a/eventlog/metrics/metrics_test.go
+++ b/eventlog/metrics/metrics_test.go
@@ -39,7 +39,7 @@
 // alert rules refer to them by name.
 func TestEndpoint(t *testing.T) {
 	recorder := httptest.NewRecorder()
-	report(t).Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	report(t).NewHTTPServer().Handler.ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	assert.Equal(t, recorder.Code, 200)
 	var own []string
 	for line := range strings.Lines(recorder.Body.String()) {
