claims: stay unsure when no informed member replied to a recovery

The model test with one to five members found it after 5725 scenarios: the only member claimed a key and froze; members that joined meanwhile evicted it and recovered from one another, none of them knowing that a single member had held claims. A process is now informed when it was the first member, or has learned departures and views from an informed one, and has missed no view. Without any informed member the window is waited for.

TestJoinedMembersOnly provokes the case.

--- a/claims/export.go
+++ b/claims/export.go
@@ -36,6 +36,7 @@
 			reply.Records = append(reply.Records, wireRecord(key, *r, now-r.createdAt))
 		}
 	}
+	reply.Informed = s.informed
 	reply.More = last < len(keys)
 	s.losses.describe(now, s.view, reply)
 	return reply
--- a/claims/failure_test.go
+++ b/claims/failure_test.go
@@ -213,7 +213,7 @@
 }
 
 // quiet is a network without faults, with the latencies of a site.
-var quiet = network{delay: 2 * time.Millisecond}
+var quiet = network{zones: 3, delay: 2 * time.Millisecond}
 
 // Without a fault every first submission is Fresh. After one death only keys of
 // the dead owner may be unknown, and only until their recovery has ended.
@@ -283,3 +283,16 @@
 		})
 	}
 }
+
+// Members that joined while the only process that knew the earlier claims was
+// frozen must not take its silence for the absence of claims.
+func TestJoinedMembersOnly(t *testing.T) {
+	actions := append(submitAll(0, 0), action{After: time.Second, Kind: "freeze", Duration: 20 * time.Second})
+	for range 3 {
+		actions = append(actions, action{Kind: "join"})
+	}
+	actions = append(actions, submitAll(8*time.Second, 1)...)
+	m := run(t, scenario{members: 1, network: quiet, actions: actions}, nil)
+	assert.NilError(t, m.violation)
+	assert.Equal(t, len(m.verdicts), 2*modelKeys)
+}
--- a/claims/model_test.go
+++ b/claims/model_test.go
@@ -51,6 +51,7 @@
 
 type scenario struct {
 	seed    uint64
+	members int
 	network network
 	actions []action
 }
@@ -58,9 +59,10 @@
 func drawScenario(t *rapid.T) scenario {
 	share := rapid.SampledFrom([]float64{0, 0.02, 0.2})
 	return scenario{
-		seed: rapid.Uint64().Draw(t, "seed"),
+		seed: rapid.Uint64().Draw(t, "seed"), members: rapid.IntRange(1, modelMembers).Draw(t, "members"),
 		network: network{
-			loss: share.Draw(t, "loss"), duplicates: share.Draw(t, "duplicates"), late: share.Draw(t, "late"),
+			zones: rapid.IntRange(1, 3).Draw(t, "zones"),
+			loss:  share.Draw(t, "loss"), duplicates: share.Draw(t, "duplicates"), late: share.Draw(t, "late"),
 			delay: time.Duration(rapid.IntRange(0, 50).Draw(t, "delay ms")) * time.Millisecond,
 		},
 		actions: rapid.SliceOfN(rapid.Custom(drawAction), 10, 80).Draw(t, "actions"),
@@ -73,7 +75,7 @@
 	if plant != nil {
 		plant(m)
 	}
-	m.inVirtualTime(t, modelMembers, func() {
+	m.inVirtualTime(t, sc.members, func() {
 		for _, a := range sc.actions {
 			time.Sleep(a.After)
 			m.play(a)
@@ -165,7 +167,9 @@
 	random := rapid.Custom(drawScenario)
 	drawn := func(seed int) scenario { return random.Example(seed) }
 	directed := func(actions ...action) func(int) scenario {
-		return func(seed int) scenario { return scenario{seed: uint64(seed), network: quiet, actions: actions} }
+		return func(seed int) scenario {
+			return scenario{seed: uint64(seed), members: modelMembers, network: quiet, actions: actions}
+		}
 	}
 	for name, c := range map[string]struct {
 		scenario func(seed int) scenario
@@ -174,7 +178,7 @@
 		"recovery off": {drawn, func(m *simulation) {
 			m.intercept = func(message proto.Message) proto.Message {
 				if recovery, ok := message.(*peerpb.ClaimRecovery); ok {
-					return &peerpb.ClaimRecoveryReply{ViewVersion: recovery.GetViewVersion()}
+					return &peerpb.ClaimRecoveryReply{ViewVersion: recovery.GetViewVersion(), Informed: true}
 				}
 				return nil
 			}
--- a/claims/recovery.go
+++ b/claims/recovery.go
@@ -13,6 +13,7 @@
 func (s *Service) startRecovery(now time.Duration) {
 	s.stopRecovery()
 	s.stopRecovery = func() {}
+	s.heardInformed = false
 	if s.complete || !s.view.holds(s.self) {
 		return
 	}
@@ -47,6 +48,11 @@
 	s.completeFrom = s.view.version
 	s.stats.Recoveries++
 	s.losses.settle(now)
+	if !s.informed && !s.heardInformed {
+		// All members that knew the earlier claims may have gone unnoticed.
+		s.losses.unsureUntil = now + s.config.retention()
+	}
+	s.informed = true
 }
 
 // recoverFrom fetches all pages of one member.
@@ -99,6 +105,7 @@
 			s.losses.learn(who, departure{zone: fleet.ZoneID(d.GetZone()), at: now - duration(d.GetAgeMs())})
 		}
 	}
+	s.heardInformed = s.heardInformed || reply.GetInformed()
 	s.losses.noteSpread(now, int(reply.GetFewestMembers()), int(reply.GetFewestZones()))
 	s.losses.unsureUntil = max(s.losses.unsureUntil, now+duration(reply.GetUnsureMs()))
 	return true
--- a/claims/service.go
+++ b/claims/service.go
@@ -30,7 +30,11 @@
 	// all claims of the keys that it owned.
 	completeFrom uint64
 	complete     bool // The current view is such a view.
-	stopRecovery context.CancelFunc
+	// informed is set when this process knows every departure and every view of
+	// the retention time. A process that joined or missed a view learns them from
+	// an informed member; heardInformed is set when one has replied.
+	informed, heardInformed bool
+	stopRecovery            context.CancelFunc
 
 	losses     losses
 	handedOver map[identity]uint64 // View version of the last handover of a member.
@@ -96,10 +100,8 @@
 	s.history = []*view{before, next}
 	s.completeFrom = before.version
 	s.setIncarnation(next)
-	if len(before.byID) == 0 && next.version > 1 {
-		// Earlier members have all left; nobody can tell what they claimed.
-		s.losses.unsureUntil = now + s.config.retention()
-	}
+	// The first member that ever joined, in version 1 of the view, has missed nothing.
+	s.informed = s.self.incarnation == 1
 }
 
 func (s *Service) adoptNext(now time.Duration, next *view) {
@@ -115,6 +117,7 @@
 			s.losses.depart(who, m.Zone)
 		}
 	}
+	s.informed = s.informed && next.version == former.version+1
 	s.complete = s.complete && self == s.self && next.holds(self) && s.gainsNothing(former, next)
 	if s.complete {
 		s.completeFrom = next.version
--- a/claims/simulation_test.go
+++ b/claims/simulation_test.go
@@ -24,6 +24,7 @@
 
 // network is what a scenario draws about messages.
 type network struct {
+	zones                  int
 	loss, duplicates, late float64       // shares
 	delay                  time.Duration // up to; late messages take up to a second
 }
@@ -113,7 +114,7 @@
 	defer m.mu.Unlock()
 	i := len(m.processes)
 	id := fleet.MemberID(fmt.Sprintf("m%d", i))
-	p := &process{simulation: m, member: fleet.Member{ID: id, Zone: fleet.ZoneID(fmt.Sprintf("z%d", i%3))}}
+	p := &process{simulation: m, member: fleet.Member{ID: id, Zone: fleet.ZoneID(fmt.Sprintf("z%d", i%m.zones))}}
 	p.service, _ = New(Config{Self: id, Transport: p, Valid: p.valid, Now: m.now, Window: modelWindow, DispatchWithin: modelDispatchWithin})
 	if m.forgetful {
 		p.service.losses.retention = -time.Hour
