claims: accept skipped views whose changes are all known

A process that polls may skip the view between two evictions. Each version changes one member, so that a skipped view is known when the differences account for all versions; a key owned in both views was owned throughout.

--- a/claims/service.go
+++ b/claims/service.go
@@ -107,8 +107,10 @@
 func (s *Service) adoptNext(now time.Duration, next *view) {
 	former, self := s.view, s.self
 	former.supersedAt = now
+	next.gap = !next.explainedBy(former)
 	s.history = append(s.history, next)
 	s.losses.noteView(now, former)
+	s.losses.noteView(now, former.common(next))
 	s.losses.noteView(now, next)
 	s.setIncarnation(next)
 	for _, m := range former.ranking.members {
@@ -117,7 +119,7 @@
 			s.losses.depart(who, m.Zone)
 		}
 	}
-	s.informed = s.informed && next.version == former.version+1
+	s.informed = s.informed && !next.gap
 	s.complete = s.complete && self == s.self && next.holds(self) && s.gainsNothing(former, next)
 	if s.complete {
 		s.completeFrom = next.version
@@ -134,7 +136,7 @@
 // owns in next, given that it did in former: no key has moved to it, or those
 // that have were handed over.
 func (s *Service) gainsNothing(former, next *view) bool {
-	if next.version != former.version+1 {
+	if next.gap {
 		return false
 	}
 	for _, m := range former.ranking.members {
@@ -177,16 +179,14 @@
 	if s.complete && !unsure {
 		return true
 	}
-	expected := uint64(0)
-	for _, v := range s.history {
+	for i, v := range s.history {
 		if !unsure && v.version < s.completeFrom {
 			continue
 		}
-		gap := expected != 0 && v.version != expected
-		if gap || v.ranking.owner(keyHash) != s.self.id {
+		first := i == 0 || !unsure && v.version == s.completeFrom
+		if !first && v.gap || v.ranking.owner(keyHash) != s.self.id {
 			return false
 		}
-		expected = v.version + 1
 	}
 	return true
 }
--- a/claims/view.go
+++ b/claims/view.go
@@ -20,6 +20,8 @@
 	byID       map[fleet.MemberID]fleet.Member
 	zones      int
 	supersedAt time.Duration // When a newer view was adopted; set on former views.
+	// gap is set when views between the former one and this one are unknown.
+	gap bool
 }
 
 func newView(version uint64, members []fleet.Member) *view {
@@ -49,6 +51,43 @@
 	return ok && m.Incarnation == who.incarnation
 }
 
+// common returns the members that v and next share: the smallest view that may
+// have been in force between the two.
+func (v *view) common(next *view) *view {
+	var members []fleet.Member
+	for _, m := range v.ranking.members {
+		if next.holds(identity{m.ID, m.Incarnation}) {
+			members = append(members, m)
+		}
+	}
+	return newView(v.version, members)
+}
+
+// explainedBy reports whether the differences from the former view are all
+// changes between the two: each version changes one member. The views in between
+// then hold a part of the members of both, so that a member which owns a key in
+// both owned it throughout.
+func (v *view) explainedBy(former *view) bool {
+	if v.version == former.version+1 {
+		return true
+	}
+	changes := uint64(0)
+	for id, m := range former.byID {
+		switch later, stays := v.byID[id]; {
+		case !stays:
+			changes++
+		case later.Incarnation != m.Incarnation:
+			return false // One change or two.
+		}
+	}
+	for id := range v.byID {
+		if _, known := former.byID[id]; !known {
+			changes++
+		}
+	}
+	return changes == v.version-former.version
+}
+
 // needsFurtherHolder reports whether a copy is needed besides those of the owner
 // and the dispatcher: copies span two availability zones where the view has two,
 // and two members otherwise.
