--- a/claims/service.go
+++ b/claims/service.go
@@ -30,7 +30,11 @@
 	// all claims of the keys that it owned.
 	completeFrom uint64
 	complete     bool // The current view is such a view.
-	stopRecovery context.CancelFunc
+	// informed is set when this process knows every departure and every view of
+	// the retention time. A process that joined or missed a view learns them from
+	// an informed member; heardInformed is set when one has replied.
+	informed, heardInformed bool
+	stopRecovery            context.CancelFunc
 
 	losses     losses
 	handedOver map[identity]uint64 // View version of the last handover of a member.
@@ -96,17 +100,17 @@
 	s.history = []*view{before, next}
 	s.completeFrom = before.version
 	s.setIncarnation(next)
-	if len(before.byID) == 0 && next.version > 1 {
-		// Earlier members have all left; nobody can tell what they claimed.
-		s.losses.unsureUntil = now + s.config.retention()
-	}
+	// The first member that ever joined, in version 1 of the view, has missed nothing.
+	s.informed = s.self.incarnation == 1
 }
 
 func (s *Service) adoptNext(now time.Duration, next *view) {
 	former, self := s.view, s.self
 	former.supersedAt = now
+	next.gap = !next.explainedBy(former)
 	s.history = append(s.history, next)
 	s.losses.noteView(now, former)
+	s.losses.noteView(now, former.common(next))
 	s.losses.noteView(now, next)
 	s.setIncarnation(next)
 	for _, m := range former.ranking.members {
@@ -115,6 +119,7 @@
 			s.losses.depart(who, m.Zone)
 		}
 	}
+	s.informed = s.informed && !next.gap
 	s.complete = s.complete && self == s.self && next.holds(self) && s.gainsNothing(former, next)
 	if s.complete {
 		s.completeFrom = next.version
@@ -131,7 +136,7 @@
 // owns in next, given that it did in former: no key has moved to it, or those
 // that have were handed over.
 func (s *Service) gainsNothing(former, next *view) bool {
-	if next.version != former.version+1 {
+	if next.gap {
 		return false
 	}
 	for _, m := range former.ranking.members {
@@ -174,16 +179,14 @@
 	if s.complete && !unsure {
 		return true
 	}
-	expected := uint64(0)
-	for _, v := range s.history {
+	for i, v := range s.history {
 		if !unsure && v.version < s.completeFrom {
 			continue
 		}
-		gap := expected != 0 && v.version != expected
-		if gap || v.ranking.owner(keyHash) != s.self.id {
+		first := i == 0 || !unsure && v.version == s.completeFrom
+		if !first && v.gap || v.ranking.owner(keyHash) != s.self.id {
 			return false
 		}
-		expected = v.version + 1
 	}
 	return true
 }
