--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -187,9 +187,10 @@
 	return err
 }
 
-// ready reports whether callers may be sent to this process.
+// ready reports whether callers may be sent to this process. A process that has
+// just started has no slots until their former users must have ended.
 func (p *Process) ready() bool {
-	return p.controller.Valid() && p.controller.Configuration() != nil
+	return p.controller.Valid() && p.controller.Configuration() != nil && p.router.UsableSlots() > 0
 }
 
 func (p *Process) buildAdmin() error {
--- a/routing/flow_test.go
+++ b/routing/flow_test.go
@@ -183,12 +183,14 @@
 		m["entry-2"].SetValidity(func() bool { return true })
 		m["entry-2"].SetView(s, view, joiner)
 		assert.Equal(t, m["entry-2"].IdleSlots()[testPool], 0)
+		assert.Equal(t, m["entry-2"].UsableSlots(), 0, "the process must not report ready")
 		for _, other := range view.Members[:2] {
 			m[other.ID].SetView(s, view, other)
 		}
 		time.Sleep(10 * time.Millisecond)
 		for id, r := range m {
 			assert.Equal(t, r.IdleSlots()[testPool], 6, string(id))
+			assert.Equal(t, r.UsableSlots(), 6, string(id))
 		}
 		for i, other := range view.Members[:2] {
 			m[other.ID].SetView(s, fleet.MemberView{Version: 3, Members: view.Members[:2]}, view.Members[i])
