--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -97,7 +97,7 @@
 }
 
 func (p *Process) buildPeers() (err error) {
-	p.node, err = peer.NewNode(peer.Config{Self: p.self(), Clock: p.log.Clock(), OnSession: p.recordSession})
+	p.node, err = peer.NewNode(peer.Config{Self: p.self(), Clock: p.log.Clock(), OnSession: p.recordSession, TLS: peerTLS(p.settings.TLS)})
 	return err
 }
 
@@ -255,6 +255,8 @@
 			return l, fmt.Errorf("listen: %w", err)
 		}
 	}
+	l.callers = secure(l.callers, p.settings.TLS.Callers)
+	l.admin = secure(l.admin, p.settings.TLS.Admin)
 	return l, nil
 }
 
