--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -70,10 +70,10 @@
 	return min(left, limit), nil
 }
 
-// setDeadline passes on the time left, rounded up to a whole millisecond.
+// setDeadline passes on the time left in whole milliseconds, rounded down so
+// that the backend server never expects more time than there is.
 func setDeadline(h http.Header, left time.Duration) {
-	ms := max(int64((left+time.Millisecond-1)/time.Millisecond), 1)
-	h[HeaderDeadline] = []string{strconv.FormatInt(ms, 10)}
+	h[HeaderDeadline] = []string{strconv.FormatInt(max(left.Milliseconds(), 1), 10)}
 }
 
 func idempotent(method string) bool {
