--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotcrank.dev/claims"
+	"peridotcrank.dev/exchange"
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/routing"
 )
@@ -272,3 +273,16 @@
 		assert.Equal(t, s.routes().match(path).Name, want, path)
 	}
 }
+
+// Guards against options that are accepted although the gateway cannot run
+// with them, and against errors that hide one another.
+func TestInvalidOptionsAreReportedTogether(t *testing.T) {
+	_, err := New(Options{MaxAttempts: -1, SlowSenderLimit: -1})
+	for _, name := range []string{"Dispatcher", "Claims", "Exchange", "Configuration", "MaxAttempts", "SlowSenderLimit"} {
+		assert.ErrorContains(t, err, "gateway options: "+name)
+	}
+	_, err = NewServer(nil, ServerOptions{ListenerOpen: -1})
+	assert.ErrorContains(t, err, "ListenerOpen")
+	_, err = exchange.New(exchange.Options{DialTimeout: -1})
+	assert.ErrorContains(t, err, "DialTimeout")
+}
