peer: test refusals, reconnects, TLS and independent requests

A refused Hello was sometimes reported as a closed session: yamux may report a session that its peer closed before the data it has received. The refusing side now lets the dialling side close first.

--- a/peer/hello.go
+++ b/peer/hello.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -59,8 +60,8 @@
 	}
 	hello := envelope.GetHello()
 	if err := s.accept(hello); err != nil {
-		// The dialling side learns the reason; the session ends either way.
-		_ = writeNow(st, &peerpb.Envelope{Reply: true, Error: err.Error()})
+		s.node.counts.sessionsRefused.Add(1)
+		st.refuse(err)
 		return nil, err
 	}
 	st.class = Class(hello.GetTrafficClass())
@@ -74,6 +75,15 @@
 	return st, conn.SetDeadline(time.Time{})
 }
 
+// refuse tells the dialling side the reason and lets it close the session first:
+// yamux may report a session closed by its peer before the data it received. The
+// deadline of Hello bounds the wait.
+func (s *stream) refuse(reason error) {
+	if writeNow(s, &peerpb.Envelope{Reply: true, Error: reason.Error()}) == nil {
+		_, _ = io.Copy(io.Discard, s.conn)
+	}
+}
+
 // accept checks the identity in hello and binds the session to it.
 func (s *session) accept(hello *peerpb.Hello) error {
 	if hello == nil {
--- a/peer/session.go
+++ b/peer/session.go
@@ -74,7 +74,6 @@
 	defer s.cancel()
 	st, err := s.receiveHello(conn)
 	if err != nil {
-		s.node.counts.sessionsRefused.Add(1)
 		return
 	}
 	newResponder(st, s.identity()).run()
--- /dev/null
+++ b/peer/session_test.go
@@ -0,0 +1,206 @@
+package peer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"errors"
+	"math/big"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/peer/peerpb"
+)
+
+// refusal waits for an attempt to connect and returns its error.
+type refusal struct{ errors chan error }
+
+func (r refusal) watch(c *Config) {
+	c.OnSession = func(e SessionEvent) {
+		select {
+		case r.errors <- e.Err:
+		default:
+		}
+	}
+}
+
+func (r refusal) expect(t *testing.T, text string) {
+	t.Helper()
+	err := <-r.errors
+	var failure *Error
+	assert.Check(t, errors.As(err, &failure) && failure.Peer == "b" && failure.Step == StepHello, "%v", err)
+	assert.ErrorContains(t, err, text)
+}
+
+// A session must be refused when either side is not who the other means, or is
+// an older incarnation.
+func TestHelloRefuses(t *testing.T) {
+	view := func(version uint64, members ...fleet.Member) fleet.MemberView {
+		return fleet.MemberView{Version: version, Members: members}
+	}
+	incarnation := func(m fleet.Member, i uint64) fleet.Member { m.Incarnation = i; return m }
+	for name, c := range map[string]struct {
+		views   func(a, b fleet.Member) (ofA, ofB fleet.MemberView)
+		refusal string
+	}{
+		"sender has an older incarnation": {func(a, b fleet.Member) (ofA, ofB fleet.MemberView) {
+			return view(1, a, b), view(2, incarnation(a, 2), b)
+		}, "incarnation 1 of a is older than 2"},
+		"sender is not a member": {func(a, b fleet.Member) (ofA, ofB fleet.MemberView) {
+			return view(1, a, b), view(2, b)
+		}, "a is not a member in view 2"},
+		"target has an older incarnation": {func(a, b fleet.Member) (ofA, ofB fleet.MemberView) {
+			return view(2, a, incarnation(b, 2)), view(1, a, b)
+		}, "this is b incarnation 1, not b incarnation 2"},
+		"address belongs to another member": {func(a, b fleet.Member) (ofA, ofB fleet.MemberView) {
+			c := b
+			c.ID = "b2"
+			return view(1, a, c), view(1, a, b)
+		}, "this is b incarnation 1, not b2 incarnation 1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seen := refusal{make(chan error, 1)}
+			a, ma := startNode(t, "a", seen.watch)
+			b, mb := startNode(t, "b", nil)
+			ofA, ofB := c.views(ma, mb)
+			b.SetMembers(ofB)
+			a.SetMembers(ofA)
+			err := <-seen.errors
+			assert.ErrorContains(t, err, c.refusal)
+			assert.Check(t, errors.Is(err, ErrRefused) && !a.Connected(ofA.Members[1].ID))
+			assert.Check(t, b.Stats().SessionsRefused > 0)
+		})
+	}
+}
+
+// An open session must end when its member leaves the view or rejoins.
+func TestViewEndsSessions(t *testing.T) {
+	a, b := pair(t, nil)
+	mb, _ := b.identity()
+	b.SetMembers(fleet.MemberView{Version: 2, Members: []fleet.Member{mb}})
+	waitUntil(t, testContext(t), func() bool { return !a.Connected("b") })
+	_, err := a.Call(testContext(t), "b", ClassControl, &peerpb.Heartbeat{})
+	assert.Check(t, errors.Is(err, ErrNotConnected) && !MaybeSent(err), "%v", err)
+}
+
+// After a broken connection the session must come back by itself, and calls in
+// progress must fail as possibly sent.
+func TestReconnect(t *testing.T) {
+	a, b := pair(t, nil)
+	started := make(chan struct{})
+	Handle(b, func(ctx context.Context, _ Sender, _ *peerpb.DrainQuery) (proto.Message, error) {
+		close(started)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	failed := make(chan error)
+	go func() {
+		_, err := a.Call(testContext(t), "b", ClassControl, &peerpb.DrainQuery{})
+		failed <- err
+	}()
+	<-started
+	b.mu.Lock()
+	for s := range b.sessions {
+		s.cancel()
+	}
+	b.mu.Unlock()
+	err := <-failed
+	assert.Check(t, errors.Is(err, ErrSessionLost) && MaybeSent(err), "%v", err)
+	waitUntil(t, testContext(t), func() bool { return a.Connected("b") && a.Stats().SessionsStarted == 2 })
+	_, err = a.Call(testContext(t), "b", ClassClaims, &peerpb.Claim{})
+	assert.NilError(t, err)
+}
+
+// Handler errors, missing handlers and messages over the limit must reach the
+// caller, and a slow handler must not delay others.
+func TestRequestsAreIndependent(t *testing.T) {
+	a, b := pair(t, func(c *Config) { c.MaxFrame = 64 << 10 })
+	release := make(chan struct{})
+	Handle(b, func(context.Context, Sender, *peerpb.SlotBorrow) (proto.Message, error) { <-release; return nil, nil })
+	Handle(b, func(_ context.Context, from Sender, _ *peerpb.DrainQuery) (proto.Message, error) {
+		return nil, errors.New("no such VM, " + string(from.Member))
+	})
+	var slow sync.WaitGroup
+	slow.Go(func() {
+		_, err := a.Call(testContext(t), "b", ClassControl, &peerpb.SlotBorrow{})
+		assert.Check(t, err)
+	})
+	_, err := a.Call(testContext(t), "b", ClassControl, &peerpb.DrainQuery{})
+	assert.Check(t, errors.Is(err, ErrRemote) && strings.Contains(err.Error(), "no such VM, a"), "%v", err)
+	_, err = a.Call(testContext(t), "b", ClassControl, &peerpb.RowsPush{})
+	assert.ErrorContains(t, err, "no handler")
+	_, err = a.Call(testContext(t), "b", ClassControl, &peerpb.ConfigPush{Document: make([]byte, 64<<10)})
+	assert.Check(t, errors.Is(err, ErrTooLarge) && !MaybeSent(err), "%v", err)
+	_, err = Ask[*peerpb.DrainReply](testContext(t), a, "b", ClassClaims, &peerpb.Claim{})
+	assert.Check(t, errors.Is(err, ErrReplyType))
+	close(release)
+	slow.Wait()
+}
+
+// certificate returns a certificate for a member, signed by the authority.
+func certificate(t *testing.T, name string, authority *tls.Certificate) tls.Certificate {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: authority == nil, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	parent, signer := template, any(key)
+	if authority != nil {
+		parent, signer = authority.Leaf, authority.PrivateKey
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key.Public(), signer)
+	assert.NilError(t, err)
+	leaf, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}
+}
+
+// supplier presents the certificate of a name that may change at any time.
+func supplier(t *testing.T, name *atomic.Value, authority *tls.Certificate) TLSSupplier {
+	roots := x509.NewCertPool()
+	roots.AddCert(authority.Leaf)
+	return func() (*tls.Config, error) {
+		return &tls.Config{RootCAs: roots, Certificates: []tls.Certificate{certificate(t, name.Load().(string), authority)}}, nil
+	}
+}
+
+// A client with another member's certificate must be refused, and a renewed
+// certificate must take effect without a restart.
+func TestMutualTLS(t *testing.T) {
+	authority := certificate(t, "authority", nil)
+	var nameOfA, nameOfB atomic.Value
+	nameOfA.Store("c")
+	nameOfB.Store("b")
+	seen := refusal{make(chan error, 1)}
+	a, ma := startNode(t, "a", func(c *Config) { seen.watch(c); c.TLS = supplier(t, &nameOfA, &authority) })
+	b, mb := startNode(t, "b", func(c *Config) { c.TLS = supplier(t, &nameOfB, &authority) })
+	echoClaims(b)
+	view := fleet.MemberView{Version: 1, Members: []fleet.Member{ma, mb}}
+	b.SetMembers(view)
+	a.SetMembers(view)
+	seen.expect(t, "not a")
+	nameOfA.Store("a")
+	waitUntil(t, testContext(t), func() bool { return a.Connected("b") })
+	_, err := a.Call(testContext(t), "b", ClassClaims, &peerpb.Claim{})
+	assert.NilError(t, err)
+	plain, mp := startNode(t, "p", nil)
+	plain.SetMembers(fleet.MemberView{Version: 1, Members: []fleet.Member{mp, mb}})
+	refused := b.Stats().SessionsRefused
+	waitUntil(t, testContext(t), func() bool { return b.Stats().SessionsRefused > refused })
+	assert.Check(t, !plain.Connected("b"))
+}
