--- /dev/null
+++ b/claims/bench_test.go
@@ -0,0 +1,142 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/membership"
+	"peridotcrank.dev/peer"
+)
+
+// plainClock is a logical clock that only counts.
+type plainClock struct{ atomic.Uint64 }
+
+func (c *plainClock) Now() uint64    { return c.Add(1) }
+func (c *plainClock) Observe(uint64) {}
+
+// loopbackSite starts services in zones of their own, connected over loopback.
+func loopbackSite(t testing.TB, members, maxRecords int) []*Service {
+	var services []*Service
+	var nodes []*peer.Node
+	var view fleet.MemberView
+	start := time.Now()
+	for i := range members {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		id := fleet.MemberID(fmt.Sprintf("m%d", i))
+		view = membership.Join(view, fleet.Member{ID: id, Zone: fleet.ZoneID(id), PeerAddress: listener.Addr().String()})
+		node, err := peer.NewNode(peer.Config{Self: view.Members[i], Clock: new(plainClock), Listener: listener})
+		assert.NilError(t, err)
+		service, err := New(Config{
+			Self: id, Transport: PeerTransport{node}, MaxRecords: maxRecords,
+			Valid: func() bool { return true }, Now: func() time.Duration { return time.Since(start) },
+		})
+		assert.NilError(t, err)
+		service.Register(node)
+		node.Start()
+		t.Cleanup(func() { service.Close(); _ = node.Close() })
+		services, nodes = append(services, service), append(nodes, node)
+	}
+	for i := range services {
+		nodes[i].SetMembers(view)
+		services[i].SetView(view)
+	}
+	for _, service := range services {
+		for service.Stats().Recovering {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return services
+}
+
+// The service must work over real sessions as it does over the fake transport.
+func TestOverLoopback(t *testing.T) {
+	services := loopbackSite(t, 3, 0)
+	for i := range 30 {
+		key := Key{Service: "orders", Value: fmt.Sprint(i)}
+		for j, expected := range []Verdict{VerdictFresh, VerdictSeen, VerdictSeen} {
+			verdict, err := services[(i+j)%3].Claim(context.Background(), key)
+			assert.Check(t, verdict == expected, "%v %v", verdict, err)
+		}
+		services[i%3].Release(context.Background(), key)
+	}
+}
+
+// BenchmarkClaim measures one claim at a time, with a remote owner in two of three cases.
+func BenchmarkClaim(b *testing.B) {
+	services := loopbackSite(b, 3, 50_000_000)
+	var times []time.Duration
+	for i := 0; b.Loop(); i++ {
+		started := time.Now()
+		verdict, err := services[0].Claim(context.Background(), Key{Service: "orders", Customer: "customer-17", Value: fmt.Sprint(i)})
+		assert.Check(b, verdict == VerdictFresh, "%v", err)
+		times = append(times, time.Since(started))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
+}
+
+// BenchmarkClaimThroughput measures claims of one process by many goroutines;
+// all three processes share this machine.
+func BenchmarkClaimThroughput(b *testing.B) {
+	services := loopbackSite(b, 3, 50_000_000)
+	var next atomic.Int64
+	b.SetParallelism(16)
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			verdict, err := services[0].Claim(context.Background(), Key{Service: "orders", Customer: "customer-17", Value: fmt.Sprint(next.Add(1))})
+			assert.Check(b, verdict == VerdictFresh, "%v", err)
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+}
+
+// BenchmarkMemoryPerClaim reports the heap of one record with a key of 60 bytes.
+func BenchmarkMemoryPerClaim(b *testing.B) {
+	const records = 200_000
+	var perRecord float64
+	for b.Loop() {
+		table := newTable(DefaultWindow, records)
+		before := heap()
+		for i := range records {
+			key := fmt.Sprintf("orders/customer-%08d/0123456789abcdef0123456789%09d", i%1000, i)
+			table.put(key, record{holder: holder{identity{fleet.MemberID(fmt.Sprint("m", i%9)), 1}, uint64(i)}, createdAt: time.Duration(i) * time.Millisecond})
+		}
+		perRecord = float64(heap()-before) / records
+		runtime.KeepAlive(table)
+	}
+	b.ReportMetric(perRecord, "B/claim")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkRendezvous measures the choice of an owner.
+func BenchmarkRendezvous(b *testing.B) {
+	for _, members := range []int{3, 9, 30, 60} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			list := make([]fleet.Member, members)
+			for i := range list {
+				list[i].ID = fleet.MemberID(fmt.Sprintf("entry-%d", i))
+			}
+			ranking := newRendezvous(list)
+			for i := uint64(0); b.Loop(); i++ {
+				ranking.owner(i)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/peer/bench_test.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/peer/peerpb"
+)
+
+// BenchmarkRoundTrip measures one call at a time over loopback.
+func BenchmarkRoundTrip(b *testing.B) {
+	client, _ := pair(b, nil)
+	claim := &peerpb.Claim{ViewVersion: 7, Key: "orders/customer/0123456789abcdef", Member: "a", Incarnation: 3, Sequence: 9}
+	times := make([]time.Duration, 0, b.N)
+	for b.Loop() {
+		started := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := client.Call(ctx, "b", ClassClaims, claim)
+		cancel()
+		assert.NilError(b, err)
+		times = append(times, time.Since(started))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
+}
+
+// BenchmarkParallelCalls measures calls by many goroutines over one session.
+func BenchmarkParallelCalls(b *testing.B) {
+	client, _ := pair(b, nil)
+	b.SetParallelism(16)
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			_, err := client.Call(context.Background(), "b", ClassClaims, &peerpb.Claim{Key: "orders/customer/0123456789abcdef"})
+			assert.Check(b, err)
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+}
+
+// BenchmarkHeartbeatBytes reports the bytes of a heartbeat and its reply on the
+// stream, with 2 leaving VMs, 1 suspect and 5 pools.
+func BenchmarkHeartbeatBytes(b *testing.B) {
+	client, server := pair(b, nil)
+	heartbeat := &peerpb.Heartbeat{
+		Member: "entry-wa-south-1a-03", Incarnation: 12, ViewVersion: 1200, FleetRevision: 1 << 30, ConfigVersion: 3900,
+		StoreReachable: true, LeavingVms: []string{"vm-counterdesk-01", "vm-stockroom-07"}, Suspects: []string{"entry-wa-south-1b-02"},
+		IdleSlots: map[string]uint32{"counterdesk": 30, "stockroom": 200, "webshop": 12, "stalltill": 96, "backoffice": 64},
+	}
+	Handle(server, func(context.Context, Sender, *peerpb.Heartbeat) (proto.Message, error) { return heartbeat, nil })
+	before := client.Stats().Control
+	for b.Loop() {
+		_, err := client.Call(context.Background(), "b", ClassControl, heartbeat)
+		assert.NilError(b, err)
+	}
+	after := client.Stats().Control
+	sent := float64(after.MessagesSent - before.MessagesSent)
+	b.ReportMetric(float64(after.BytesSent-before.BytesSent)/sent, "B-sent")
+	b.ReportMetric(float64(after.BytesReceived-before.BytesReceived)/sent, "B-received")
+}
