--- a/limits/admission/queue.go
+++ b/limits/admission/queue.go
@@ -63,10 +63,11 @@
 	return !t.Deadline.IsZero() && now.Add(q.Service(t.Service)).After(t.Deadline)
 }
 
-// Service returns the mean service time of a service, or 0 when it is unknown.
+// Service returns a service time that most requests of a service stay below,
+// or 0 when it is unknown.
 func (q *Queue[V]) Service(name fleet.ServiceName) time.Duration {
 	if s := q.services[name]; s != nil {
-		return s.times.value
+		return s.times.ample()
 	}
 	return 0
 }
