claims, membership: list records once per view; count the joining member

- The member that joined with a version wrote it and counts as holding it.
Otherwise the first member could not evict a second one that died before its first heartbeat.
- A handover cannot be taken back: receivers rely on the process granting nothing more in the view, so that Resume could have lost claims.

--- a/claims/bench_test.go
+++ b/claims/bench_test.go
@@ -125,6 +125,21 @@
 	return stats.HeapAlloc
 }
 
+// BenchmarkRecoveryExport measures how long the table is locked when the first
+// member of nine asks for claims, with 200000 records.
+func BenchmarkRecoveryExport(b *testing.B) {
+	site := newSite(b, 0, "z1", "z2", "z3", "z1", "z2", "z3", "z1", "z2", "z3")
+	service := site.services["a"]
+	for i := range DefaultMaxRecords {
+		key := fmt.Sprint("orders/customer/", i)
+		service.table.put(key, record{hash: hashKey(key), createdAt: site.now})
+	}
+	for b.Loop() {
+		service.exports = nil
+		assert.Check(b, len(service.keysOwnedBy("b")) > 0)
+	}
+}
+
 // BenchmarkRendezvous measures the choice of an owner.
 func BenchmarkRendezvous(b *testing.B) {
 	for _, members := range []int{3, 9, 30, 60} {
--- a/claims/export.go
+++ b/claims/export.go
@@ -7,11 +7,6 @@
 	"peridotcrank.dev/peer/peerpb"
 )
 
-// export is the list of keys that a member asks for in recovery. It is made once
-// per member and view, so that pages fit together when a request is repeated.
-// Claims made later are put to that member anyway.
-type export struct{ keys []string }
-
 // receiveRecovery answers with one page of the records of keys that the asking
 // member owns in the view. In another view it answers without records; the
 // asking member repeats the question.
@@ -28,7 +23,7 @@
 		reply.ViewVersion = 0
 		return reply
 	}
-	keys := s.exportFor(identity{member.ID, member.Incarnation}).keys
+	keys := s.keysOwnedBy(member.ID)
 	first := min(int(m.GetPage())*s.config.PageSize, len(keys))
 	last := min(first+s.config.PageSize, len(keys))
 	for _, key := range keys[first:last] {
@@ -42,18 +37,20 @@
 	return reply
 }
 
-func (s *Service) exportFor(who identity) *export {
-	if e := s.exports[who]; e != nil {
-		return e
-	}
-	e := new(export)
-	for key, r := range s.table.records {
-		if r.state != stateAbandoned && s.view.ranking.owner(r.hash) == who.id {
-			e.keys = append(e.keys, key)
+// keysOwnedBy returns the keys that a member asks for in recovery. The lists of
+// all members are made once per view, so that pages fit together when a request
+// is repeated. Claims made later are put to that member anyway.
+func (s *Service) keysOwnedBy(member fleet.MemberID) []string {
+	if s.exports == nil {
+		s.exports = make(map[fleet.MemberID][]string)
+		for key, r := range s.table.records {
+			if r.state != stateAbandoned {
+				owner := s.view.ranking.owner(r.hash)
+				s.exports[owner] = append(s.exports[owner], key)
+			}
 		}
 	}
-	s.exports[who] = e
-	return e
+	return s.exports[member]
 }
 
 // describe adds what the asking member needs to judge losses.
--- a/claims/failure_test.go
+++ b/claims/failure_test.go
@@ -13,6 +13,7 @@
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/membership"
 	"peridotcrank.dev/peer"
+	"peridotcrank.dev/peer/peerpb"
 )
 
 // site is a set of services whose messages are delivered at once, unless drop says otherwise.
@@ -182,6 +183,15 @@
 	s.expect(t, "a", Key{Value: "0"}, VerdictSeen)
 	s.now += DefaultWindow + 2*bucketWidth
 	s.expect(t, "a", Key{Value: "0"}, VerdictFresh)
+	var records []*peerpb.ClaimRecord
+	for i := range 30 {
+		records = append(records, &peerpb.ClaimRecord{Key: fmt.Sprint(i), Member: "b"})
+	}
+	reply, err := s.services["a"].Receive("b", &peerpb.ClaimHandover{ViewVersion: s.view.Version, Member: "b", Incarnation: 2, Records: records})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.(*peerpb.ClaimReply).GetVerdict(), peerpb.ClaimReply_VERDICT_FULL)
+	stats := s.services["a"].Stats()
+	assert.Check(t, stats.UnsureFor >= DefaultWindow && stats.Records <= 20, "%+v", stats)
 }
 
 // measure submits a new key every 10 ms through the members that accept for the
--- a/claims/handover.go
+++ b/claims/handover.go
@@ -15,8 +15,9 @@
 // leaving the view: from its start, this process takes part in no new claim, and
 // claims of the keys that it owns wait for the next view.
 //
-// After an error, leaving is still safe; the remaining members then treat the
-// process like one that died.
+// There is no way back: the receivers rely on the process granting nothing more
+// in this view. After an error, leaving is still safe; the remaining members then
+// treat the process like one that died.
 func (s *Service) Handover(ctx context.Context) error {
 	s.mu.Lock()
 	s.leaving = true
@@ -39,15 +40,6 @@
 	}
 }
 
-// Resume takes part in claims again, when the process did not leave after all.
-// The handover must not be used for a later departure: receivers forget it with
-// the next view.
-func (s *Service) Resume() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving = false
-}
-
 // handOverIn hands over for the view that follows v without this process.
 func (s *Service) handOverIn(ctx context.Context, v *view) error {
 	self, batches, certain := s.handoverBatches(v)
--- a/claims/service.go
+++ b/claims/service.go
@@ -37,8 +37,8 @@
 	stopRecovery            context.CancelFunc
 
 	losses     losses
-	handedOver map[identity]uint64 // View version of the last handover of a member.
-	exports    map[identity]*export
+	handedOver map[identity]uint64         // View version of the last handover of a member.
+	exports    map[fleet.MemberID][]string // Keys by owner, for recovery; nil until asked for.
 }
 
 // New returns a service without a view. Close ends it.
@@ -51,7 +51,7 @@
 		config: config, table: newTable(config.Window, config.MaxRecords), self: identity{id: config.Self},
 		viewChanged: make(chan struct{}), stopRecovery: func() {},
 		losses:     newLosses(config.retention()),
-		handedOver: make(map[identity]uint64), exports: make(map[identity]*export),
+		handedOver: make(map[identity]uint64),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s, nil
@@ -84,7 +84,7 @@
 	}
 	s.view = next
 	s.trimHistory(now)
-	clear(s.exports)
+	s.exports = nil
 	close(s.viewChanged)
 	s.viewChanged = make(chan struct{})
 	s.startRecovery(now)
--- a/claims/simulation_test.go
+++ b/claims/simulation_test.go
@@ -115,7 +115,7 @@
 	i := len(m.processes)
 	id := fleet.MemberID(fmt.Sprintf("m%d", i))
 	p := &process{simulation: m, member: fleet.Member{ID: id, Zone: fleet.ZoneID(fmt.Sprintf("z%d", i%m.zones))}}
-	p.service, _ = New(Config{Self: id, Transport: p, Valid: p.valid, Now: m.now, Window: modelWindow, DispatchWithin: modelDispatchWithin})
+	p.service, _ = New(Config{Self: id, Transport: p, Valid: p.valid, Now: m.now, Window: modelWindow, DispatchWithin: modelDispatchWithin, PageSize: 2})
 	if m.forgetful {
 		p.service.losses.retention = -time.Hour
 	}
--- a/membership/lapse.go
+++ b/membership/lapse.go
@@ -25,7 +25,9 @@
 	}
 	holders := 1
 	for who, r := range t.reports {
-		if who != t.self && r.last.ViewVersion >= t.view.Version {
+		// The member that joined with this version wrote it, and never held an older one.
+		wrote := who.incarnation >= t.view.Version
+		if who != t.self && (wrote || r.last.ViewVersion >= t.view.Version) {
 			holders++
 		}
 	}
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -137,3 +137,14 @@
 	_, ok := tracker.EvictionCandidate(10 * time.Second)
 	assert.Check(t, !ok, "the view is not settled")
 }
+
+// A second member that dies before its first heartbeat must not stay for ever.
+func TestJoinedMemberCanBeEvicted(t *testing.T) {
+	tracker := newTracker(t, "a", viewOf(1, "a"))
+	tracker.SetView(0, Join(viewOf(1, "a"), fleet.Member{ID: "b"}))
+	for now := time.Duration(0); now <= DefaultSuspectAfter; now += DefaultHeartbeatInterval {
+		tracker.Tick(now)
+	}
+	candidate, ok := tracker.EvictionCandidate(DefaultSuspectAfter)
+	assert.Check(t, ok && candidate.ID == "b")
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -66,7 +66,8 @@
 // Addr returns the address on which the node listens.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
-// Close ends all sessions and waits for the node's goroutines.
+// Close ends all sessions and waits for the node's goroutines, except handlers,
+// whose contexts end.
 func (n *Node) Close() error {
 	n.cancel()
 	err := n.listener.Close()
