Record the conditions that the operations page names

Most alarms of the catalogue had no place that records them. A watcher compares the state once a second, so that a lasting condition is one event; events that may come with every request are summed up per second, code and cause.

--- a/control/controller.go
+++ b/control/controller.go
@@ -44,6 +44,7 @@
 	writing   bool // A write of the members row is in progress.
 	fetching  bool // A read of rows from a peer is in progress.
 	valid     bool
+	alarms    alarms
 	dirty     bool // The state has changed since its publication.
 	// fleetDirty says that what the traffic side routes by has changed, too.
 	fleetDirty bool
@@ -228,10 +229,10 @@
 
 // applyRows takes in rows from the table service or a peer.
 func (c *Controller) applyRows(revision store.Version, changed []store.Row) {
-	if revision < c.rows.revision && len(changed) == 0 {
-		return
-	}
 	before, beforeMembers := c.rows.revision, c.rows.membersVersion
+	if revision < before && c.rows.isOlder(changed) {
+		c.options.Log.Record(eventlog.StoreRevisionDecreased, eventlog.Fields{"revision": revision, "fleet_revision": before})
+	}
 	for _, err := range c.rows.apply(revision, changed) {
 		c.options.Log.Record(eventlog.RowUnreadable, eventlog.Fields{"error": err.Error()})
 	}
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -17,6 +17,7 @@
 func (c *Controller) tick(ctx context.Context) {
 	now := c.options.Now()
 	c.tracker.Tick(now)
+	c.checkAlarms(now)
 	c.dirty = true
 	if !c.tracker.InView() {
 		return
--- a/control/poll.go
+++ b/control/poll.go
@@ -76,6 +76,7 @@
 }
 
 func (e vmsListed) apply(c *Controller) {
+	c.alarms.listRead = c.options.Now()
 	changed := len(e.leaving) != len(c.leaving)
 	for id := range e.leaving {
 		changed = changed || !c.leaving[id]
--- a/control/rows.go
+++ b/control/rows.go
@@ -124,3 +124,14 @@
 	}
 	return list
 }
+
+// isOlder reports whether a row changed by the table service is older than the
+// copy's, which happens when the service has been restored from a backup.
+func (r *rows) isOlder(changed []store.Row) bool {
+	for _, row := range changed {
+		if row.Version < r.raw[row.Key].Version {
+			return true
+		}
+	}
+	return false
+}
--- a/peridotcrank/entry/observe.go
+++ b/peridotcrank/entry/observe.go
@@ -4,19 +4,18 @@
 	"context"
 	"errors"
 	"os"
-	"time"
 
+	"peridotcrank.dev/claims"
+	"peridotcrank.dev/control/plans"
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/eventlog/metrics"
-	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/fleet/move"
 	"peridotcrank.dev/gateway"
 	"peridotcrank.dev/routing"
 	"peridotcrank.dev/settings"
+	"peridotcrank.dev/store"
 )
 
-// collectInterval is the time between updates of gauges that follow the control state.
-const collectInterval = time.Second
-
 func logOptions(s settings.Settings) eventlog.Options {
 	return eventlog.Options{
 		Process: string(s.Member), Writer: os.Stderr, Format: eventlog.Format(s.Log.Format), Capacity: s.Log.Timeline,
@@ -41,61 +40,111 @@
 	for range max(0, o.Attempts-1) {
 		instruments.Retry()
 	}
-	var shed *routing.ShedError
-	if errors.As(o.Err, &shed) {
+	if o.Aborted {
+		p.summaries.add(eventlog.ResponseCut, string(service), o.Err)
+	}
+	switch shed, isShed := errors.AsType[*routing.ShedError](o.Err); {
+	case isShed:
 		instruments.Shed(string(shed.Reason))
+		p.summaries.add(eventlog.RequestsShed, string(service)+": "+string(shed.Reason), nil)
+	case o.Outcome == gateway.OutcomeUnknown:
+		p.summaries.add(eventlog.RequestUnknown, string(service)+": "+o.Reason, o.Err)
+	case o.Outcome == gateway.OutcomeNotRun:
+		p.summaries.add(eventlog.RequestRejected, string(service)+": "+o.Reason, o.Err)
 	}
-	if o.Outcome == gateway.OutcomeUnknown {
-		p.log.Record(eventlog.RequestUnknown, eventlog.Fields{
-			"service": o.Service, "customer": o.Customer, "reason": o.Reason, "error": errorText(o.Err),
-		})
+}
+
+// observedClaims counts the verdicts of a registry.
+type observedClaims struct {
+	claims.Registry
+	process *Process
+}
+
+var claimNames = map[claims.Verdict]string{
+	claims.VerdictUnknown: "unknown", claims.VerdictFresh: "fresh", claims.VerdictSeen: "seen", claims.VerdictFull: "full",
+}
+
+// Claim implements claims.Registry.
+func (o observedClaims) Claim(ctx context.Context, key claims.Key) (claims.Verdict, error) {
+	verdict, err := o.Registry.Claim(ctx, key)
+	o.process.metrics.Claim(claimNames[verdict])
+	switch verdict {
+	case claims.VerdictSeen:
+		o.process.summaries.add(eventlog.ClaimDuplicate, key.Service, nil)
+	case claims.VerdictFull:
+		o.process.summaries.add(eventlog.ClaimTableFull, key.Service, err)
+	case claims.VerdictUnknown:
+		o.process.summaries.add(eventlog.ClaimUnknown, key.Service, err)
 	}
+	return verdict, err
+}
+
+// observedTable counts the calls of the table service.
+type observedTable struct {
+	store.Table
+	process *Process
+}
+
+// Read implements store.Table.
+func (o observedTable) Read(ctx context.Context, prefix string, since store.Version) (store.Snapshot, error) {
+	snapshot, err := o.Table.Read(ctx, prefix, since)
+	o.process.metrics.StoreRequest("read", resultName(store.Result{Outcome: store.OutcomeApplied}, err))
+	return snapshot, err
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
+// Commit implements store.Table.
+func (o observedTable) Commit(ctx context.Context, tx store.Transaction) (store.Result, error) {
+	result, err := o.Table.Commit(ctx, tx)
+	o.process.metrics.StoreRequest("commit", resultName(result, err))
+	switch {
+	case errors.Is(err, store.ErrOutcomeUnknown):
+		o.process.log.Record(eventlog.OutcomeUnresolved, eventlog.Fields{"error": err.Error()})
+	case errors.Is(err, store.ErrBudget):
+		o.process.summaries.add(eventlog.WriteBudgetSpent, "commit", err)
+	case err == nil && !result.Applied():
+		o.process.log.Record(eventlog.TransactionRejected, eventlog.Fields{"operation": result.Operation, "failed": result.Failed})
 	}
-	return err.Error()
+	return result, err
 }
 
-// collect copies the control state into gauges until ctx ends.
-func (p *Process) collect(ctx context.Context) {
-	ticker := time.NewTicker(collectInterval)
-	defer ticker.Stop()
-	ready := false
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		state := p.controller.State()
-		p.metrics.SetConfigVersion(state.Config.Version)
-		p.metrics.SetFleetRevision(state.Fleet.Revision)
-		p.metrics.SetViewValid(p.controller.Valid())
-		ready = p.recordReadiness(ready)
+func resultName(result store.Result, err error) string {
+	switch {
+	case err == nil:
+		return result.Outcome.String()
+	case errors.Is(err, store.ErrOutcomeUnknown):
+		return "unknown"
+	case errors.Is(err, store.ErrBudget):
+		return "budget"
 	}
+	return "error"
 }
 
-func (p *Process) recordReadiness(before bool) bool {
-	now := p.gateway.Ready()
-	if now != before {
-		code := eventlog.GatewayNotReady
-		if now {
-			code = eventlog.GatewayReady
-		}
-		p.log.Record(code, eventlog.Fields{"pools": len(poolsOf(p.controller.Configuration()))})
+// recordAction records what the plan driver did.
+func (p *Process) recordAction(a plans.Action, err error) {
+	fields := eventlog.Fields{"plan": a.Plan, "step": a.String()}
+	if err != nil {
+		fields["error"] = err.Error()
 	}
-	return now
+	p.log.Record(actionCode(a, err), fields)
 }
 
-func poolsOf(config *fleet.Configuration) map[fleet.PoolID]bool {
-	pools := make(map[fleet.PoolID]bool)
-	if config != nil {
-		for _, s := range config.Services {
-			pools[s.Pool] = true
-		}
+func actionCode(a plans.Action, err error) eventlog.Code {
+	_, lost := errors.AsType[*plans.LostError](err)
+	switch {
+	case lost && a.Acquire > 0:
+		return eventlog.TransactionRejected // Another process was first to take the lease.
+	case lost:
+		return eventlog.PlanLeaseLost
+	case err == nil && a.Acquire > 0:
+		return eventlog.PlanLeaseTaken
+	case err == nil:
+		return eventlog.MoveStep
+	case a.Act == move.ActReboot:
+		return eventlog.RebootFailed
+	case a.Act == move.ActProbe:
+		return eventlog.ProbeFailed
+	case a.Act == move.ActQueryDrain:
+		return eventlog.DrainUnconfirmed
 	}
-	return pools
+	return eventlog.MoveStepRetried
 }
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -43,11 +43,12 @@
 	gateway    *gateway.Gateway
 	callers    *gateway.Server
 	admin      *http.Server
+	summaries  *summaries
 }
 
 // New builds a process from settings. It listens for peers, but does nothing else before Run.
 func New(s settings.Settings) (*Process, error) {
-	p := &Process{settings: s}
+	p := &Process{settings: s, summaries: newSummaries()}
 	steps := []struct {
 		name  string
 		build func() error
@@ -136,7 +137,7 @@
 
 func (p *Process) buildControl() (err error) {
 	p.controller, err = control.New(control.Options{
-		Self: p.self(), Table: p.table, Platform: p.platform, Peers: peering.New(p.node), Traffic: p.router,
+		Self: p.self(), Table: observedTable{p.table, p}, Platform: p.platform, Peers: peering.New(p.node), Traffic: p.router,
 		Log: p.log, Poll: p.settings.Platform.PollInterval, OnMembers: p.adoptMembers,
 	})
 	if err != nil {
@@ -164,17 +165,9 @@
 // connectionsPerWorker is the number of connections that a worker accepts from all entry processes.
 const connectionsPerWorker = 64
 
-func (p *Process) recordAction(a plans.Action, err error) {
-	fields := eventlog.Fields{"plan": a.Plan, "step": a.String()}
-	if err != nil {
-		fields["error"] = err.Error()
-	}
-	p.log.Record(eventlog.MoveStep, fields)
-}
-
 func (p *Process) buildGateway() (err error) {
 	p.gateway, err = gateway.New(gateway.Options{
-		Dispatcher: p.router, Claims: p.claims, Exchange: p.exchange, Configuration: p.controller,
+		Dispatcher: p.router, Claims: observedClaims{p.claims, p}, Exchange: p.exchange, Configuration: p.controller,
 		Ready: p.ready, Observe: p.observe, SlowSenderLimit: p.settings.Timeouts.ReadBody,
 	})
 	if err != nil {
@@ -220,7 +213,7 @@
 	controlDone := make(chan struct{})
 	go func() { defer close(controlDone); p.controller.Run(background) }()
 	go p.driver.Run(background)
-	go p.collect(background)
+	go newWatcher(p).run(background)
 
 	failed := make(chan error, 3)
 	go func() { failed <- named("serve callers", p.callers.Serve(listeners.callers)) }()
