Record or drop each event of the catalogue

45 codes of the catalogue were recorded nowhere, so the operations page named alarms that could not come. 36 are recorded now, among them the burn rate of availability budgets, listeners that fail and owners that cannot be reached; 9 without a place that can tell them are removed from code and pages.

--- a/control/operations/configuration.go
+++ b/control/operations/configuration.go
@@ -41,6 +41,7 @@
 	}
 	if !result.Applied() {
 		b.options.Controller.Refresh()
+		b.record(eventlog.ConfigRefused, eventlog.Fields{"config_version": next.Version, "operator": w.Operator})
 		return fleet.Configuration{}, admin.Errorf(admin.CodeConflict, step, "another configuration was accepted after version %d", base)
 	}
 	b.record(eventlog.ConfigAccepted, eventlog.Fields{"config_version": next.Version, "operator": w.Operator})
--- a/control/receive.go
+++ b/control/receive.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 
+	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/peer/peerpb"
 )
@@ -46,6 +47,7 @@
 func (c *Controller) ReceiveConfiguration(ctx context.Context, m *peerpb.ConfigPush) error {
 	var config fleet.Configuration
 	if err := json.Unmarshal(m.GetDocument(), &config); err != nil {
+		c.options.Log.Record(eventlog.ConfigUnreadable, eventlog.Fields{"config_version": m.GetVersion(), "error": err.Error()})
 		return fmt.Errorf("decode configuration %d: %w", m.GetVersion(), err)
 	}
 	if config.Version != m.GetVersion() {
--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -17,10 +17,8 @@
 	BackendEjected      Code = 2002
 	BackendReturned     Code = 2003
 	EjectionLimit       Code = 2004
-	BackendRefused      Code = 2005
 	SpillStarted        Code = 2006
 	SpillEnded          Code = 2007
-	RetryBudgetSpent    Code = 2008
 	SlotsBorrowed       Code = 2009
 	PoolWithoutBackends Code = 2010
 	AvailabilityAtRisk  Code = 2011
@@ -61,7 +59,6 @@
 	StoreUnreachable       Code = 5002
 	BreakerOpened          Code = 5003
 	BreakerClosed          Code = 5004
-	OutcomeResolved        Code = 5005
 	OutcomeUnresolved      Code = 5006
 	WriteBudgetSpent       Code = 5007
 	RowUnreadable          Code = 5008
@@ -72,25 +69,22 @@
 
 // Codes of plans and moves, 6000 to 6999.
 const (
-	IntentCreated        Code = 6001
-	PlanProposed         Code = 6002
-	PlanConfirmed        Code = 6003
-	PlanRefused          Code = 6004
-	PlanRejected         Code = 6005
-	PlanCancelled        Code = 6006
-	PlanDone             Code = 6007
-	PlanBlocked          Code = 6008
-	PlanLeaseTaken       Code = 6010
-	PlanLeaseLost        Code = 6011
-	MoveStep             Code = 6020
-	MoveStepRetried      Code = 6021
-	MoveStuck            Code = 6022
-	RebootFailed         Code = 6023
-	ProbeFailed          Code = 6024
-	DrainUnconfirmed     Code = 6025
-	VMLeaving            Code = 6030
-	VMInTwoPools         Code = 6031
-	GenerationUnexpected Code = 6032
+	IntentCreated    Code = 6001
+	PlanProposed     Code = 6002
+	PlanConfirmed    Code = 6003
+	PlanRefused      Code = 6004
+	PlanRejected     Code = 6005
+	PlanCancelled    Code = 6006
+	PlanDone         Code = 6007
+	PlanBlocked      Code = 6008
+	PlanLeaseTaken   Code = 6010
+	PlanLeaseLost    Code = 6011
+	MoveStep         Code = 6020
+	MoveStepRetried  Code = 6021
+	RebootFailed     Code = 6023
+	ProbeFailed      Code = 6024
+	DrainUnconfirmed Code = 6025
+	VMLeaving        Code = 6030
 )
 
 // Codes of configuration, 7000 to 7999.
@@ -101,7 +95,6 @@
 	ConfigLagging       Code = 7004
 	ConfigRefused       Code = 7005
 	ConfigUnreadable    Code = 7006
-	ConfigOlderIgnored  Code = 7007
 	ConfigPushFailed    Code = 7008
 	ConfigServiceNoPool Code = 7009
 )
@@ -124,16 +117,14 @@
 
 // Codes of the process, 9000 to 9999.
 const (
-	ProcessStarted       Code = 9001
-	ProcessReady         Code = 9002
-	ProcessStopping      Code = 9003
-	ProcessStopped       Code = 9004
-	ProcessStopForced    Code = 9005
-	ProcessPaused        Code = 9006
-	ProcessFailed        Code = 9007
-	MetricsListenFault   Code = 9008
-	ReportsDropped       Code = 9009
-	ControlLoopSaturated Code = 9010
+	ProcessStarted     Code = 9001
+	ProcessReady       Code = 9002
+	ProcessStopping    Code = 9003
+	ProcessStopped     Code = 9004
+	ProcessStopForced  Code = 9005
+	ProcessPaused      Code = 9006
+	ProcessFailed      Code = 9007
+	MetricsListenFault Code = 9008
 )
 
 // catalogue holds each code once, in ascending order. docs/EVENTS.md lists the same rows.
@@ -150,10 +141,8 @@
 	{BackendEjected, "backend-ejected", LevelWarning, "A backend server was ejected from routing because of its errors."},
 	{BackendReturned, "backend-returned", LevelInfo, "An ejected backend server is used again."},
 	{EjectionLimit, "ejection-limit", LevelAlarm, "Half of a pool is ejected; further failing backend servers stay in use."},
-	{BackendRefused, "backend-refused", LevelInfo, "A backend server refused a connection; the request was not run there."},
 	{SpillStarted, "spill-started", LevelInfo, "Requests are sent to another availability zone because the own one is full."},
 	{SpillEnded, "spill-ended", LevelInfo, "Requests stay in the own availability zone again."},
-	{RetryBudgetSpent, "retry-budget-spent", LevelWarning, "The retry budget is spent; idempotent requests are not retried."},
 	{SlotsBorrowed, "slots-borrowed", LevelInfo, "Worker slots were borrowed from a peer."},
 	{PoolWithoutBackends, "pool-without-backends", LevelAlarm, "A pool with a service has no routable backend server."},
 	{AvailabilityAtRisk, "availability-at-risk", LevelAlarm, "A service uses up its availability budget faster than it may."},
@@ -185,7 +174,6 @@
 	{StoreUnreachable, "store-unreachable", LevelAlarm, "The table service does not answer; nothing can be changed, requests are served."},
 	{BreakerOpened, "breaker-opened", LevelWarning, "The circuit breaker of the table service opened."},
 	{BreakerClosed, "breaker-closed", LevelInfo, "The circuit breaker of the table service closed."},
-	{OutcomeResolved, "outcome-resolved", LevelInfo, "An unknown outcome was resolved by its operation row."},
 	{OutcomeUnresolved, "outcome-unresolved", LevelAlarm, "An outcome is still unknown at the end of the resolution budget."},
 	{WriteBudgetSpent, "write-budget-spent", LevelWarning, "The write budget of the table service is spent; plans progress more slowly."},
 	{RowUnreadable, "row-unreadable", LevelAlarm, "A row of the table service cannot be decoded."},
@@ -205,13 +193,10 @@
 	{PlanLeaseLost, "plan-lease-lost", LevelWarning, "Another process took over a plan that this process drove."},
 	{MoveStep, "move-step", LevelInfo, "A VM reached the next phase of its move."},
 	{MoveStepRetried, "move-step-retried", LevelWarning, "A step of a move failed and is repeated."},
-	{MoveStuck, "move-stuck", LevelAlarm, "A VM has been in one phase of its move for longer than the limit."},
 	{RebootFailed, "reboot-failed", LevelAlarm, "The platform reports that a reboot failed."},
 	{ProbeFailed, "probe-failed", LevelWarning, "A moved VM did not answer its probe."},
 	{DrainUnconfirmed, "drain-unconfirmed", LevelWarning, "A member has not confirmed a drain yet."},
 	{VMLeaving, "vm-leaving", LevelInfo, "A VM was announced to be leaving; it receives no new requests."},
-	{VMInTwoPools, "vm-in-two-pools", LevelAlarm, "A VM was found in two pools; its moves are stopped."},
-	{GenerationUnexpected, "generation-unexpected", LevelWarning, "A VM has another generation than the plan's step expects."},
 
 	{ConfigAccepted, "config-accepted", LevelInfo, "A configuration was committed as the next version."},
 	{ConfigInForce, "config-in-force", LevelInfo, "All live members have confirmed a configuration version."},
@@ -219,7 +204,6 @@
 	{ConfigLagging, "config-lagging", LevelAlarm, "A live member has not confirmed a configuration within the limit."},
 	{ConfigRefused, "config-refused", LevelInfo, "A configuration was refused because it was invalid or its base version was old."},
 	{ConfigUnreadable, "config-unreadable", LevelAlarm, "A received configuration cannot be decoded; the previous one stays in force."},
-	{ConfigOlderIgnored, "config-older-ignored", LevelInfo, "An older configuration than the one in force was ignored."},
 	{ConfigPushFailed, "config-push-failed", LevelWarning, "A configuration could not be pushed to a peer; the peer reads it from the store."},
 	{ConfigServiceNoPool, "config-service-without-pool", LevelWarning, "A service of the configuration names a pool that does not exist."},
 
@@ -244,6 +228,4 @@
 	{ProcessPaused, "process-paused", LevelWarning, "The process was suspended for longer than the validity of its view."},
 	{ProcessFailed, "process-failed", LevelAlarm, "The entry process ends because of an internal fault."},
 	{MetricsListenFault, "metrics-listen-fault", LevelAlarm, "The listener for metrics failed."},
-	{ReportsDropped, "reports-dropped", LevelWarning, "Traffic goroutines dropped reports because the control loop was behind."},
-	{ControlLoopSaturated, "control-loop-saturated", LevelAlarm, "The control loop has been behind for longer than the limit."},
 }
--- a/peridotcrank/entry/observe.go
+++ b/peridotcrank/entry/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"os"
 
 	"peridotcrank.dev/claims"
@@ -40,6 +41,7 @@
 	for range max(0, o.Attempts-1) {
 		instruments.Retry()
 	}
+	p.budgets.count(service, o.Outcome == gateway.OutcomeAnswered && o.Status < http.StatusInternalServerError && !o.Aborted)
 	if o.Aborted {
 		p.summaries.add(eventlog.ResponseCut, string(service), o.Err)
 	}
@@ -47,6 +49,8 @@
 	case isShed:
 		instruments.Shed(string(shed.Reason))
 		p.summaries.add(eventlog.RequestsShed, string(service)+": "+string(shed.Reason), nil)
+	case o.Status == http.StatusRequestTimeout:
+		p.summaries.add(eventlog.SlowSender, string(service), o.Err)
 	case o.Outcome == gateway.OutcomeUnknown:
 		p.summaries.add(eventlog.RequestUnknown, string(service)+": "+o.Reason, o.Err)
 	case o.Outcome == gateway.OutcomeNotRun:
@@ -74,7 +78,11 @@
 	case claims.VerdictFull:
 		o.process.summaries.add(eventlog.ClaimTableFull, key.Service, err)
 	case claims.VerdictUnknown:
-		o.process.summaries.add(eventlog.ClaimUnknown, key.Service, err)
+		code := eventlog.ClaimUnknown
+		if failure, ok := errors.AsType[*claims.Error](err); ok && failure.Peer != "" {
+			code = eventlog.ClaimOwnerUnreachable
+		}
+		o.process.summaries.add(code, key.Service, err)
 	}
 	return verdict, err
 }
--- /dev/null
+++ b/peridotcrank/entry/observe_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/fleet"
+)
+
+// codes records the codes of events in order.
+type codes []eventlog.Code
+
+func (c *codes) Record(code eventlog.Code, _ eventlog.Fields) { *c = append(*c, code) }
+
+// Guards against an alarm that never comes, repeats every second, or comes from
+// a single failure.
+func TestBudgetAtRisk(t *testing.T) {
+	config := &fleet.Configuration{Services: []fleet.Service{{Name: "orders", AvailabilityTarget: 0.999}}}
+	b, log := newBudgets(), &codes{}
+	second := func(answered, failed int) {
+		for range answered {
+			b.count("orders", true)
+		}
+		for range failed {
+			b.count("orders", false)
+		}
+		b.look(log, config)
+	}
+	second(100, 1)
+	assert.Equal(t, len(*log), 0)
+	second(100, 20)
+	second(100, 20)
+	assert.DeepEqual(t, *log, codes{eventlog.AvailabilityAtRisk})
+	for range budgetWindow {
+		second(100, 0)
+	}
+	second(0, 100)
+	assert.Equal(t, len(*log), 2, "the condition ended in between")
+}
+
+// Guards against one log line for each request during a fault.
+func TestSummariesAreOneEventPerCause(t *testing.T) {
+	s, log := newSummaries(), &codes{}
+	for range 1000 {
+		s.add(eventlog.RequestsShed, "orders: queue-full", nil)
+		s.add(eventlog.RequestUnknown, "orders", errors.New("connection reset"))
+	}
+	s.flush(log)
+	s.flush(log)
+	assert.DeepEqual(t, *log, codes{eventlog.RequestUnknown, eventlog.RequestsShed})
+}
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -44,11 +44,12 @@
 	callers    *gateway.Server
 	admin      *http.Server
 	summaries  *summaries
+	budgets    *budgets
 }
 
 // New builds a process from settings. It listens for peers, but does nothing else before Run.
 func New(s settings.Settings) (*Process, error) {
-	p := &Process{settings: s, summaries: newSummaries()}
+	p := &Process{settings: s, summaries: newSummaries(), budgets: newBudgets()}
 	steps := []struct {
 		name  string
 		build func() error
@@ -237,14 +238,16 @@
 
 func (p *Process) listen() (l listeners, err error) {
 	for _, item := range []struct {
-		into *net.Listener
-		at   netip.AddrPort
+		into  *net.Listener
+		at    netip.AddrPort
+		fault eventlog.Code
 	}{
-		{&l.callers, p.settings.Listen.Callers},
-		{&l.admin, p.settings.Listen.Admin},
-		{&l.metrics, p.settings.Listen.Metrics},
+		{&l.callers, p.settings.Listen.Callers, eventlog.GatewayListenFault},
+		{&l.admin, p.settings.Listen.Admin, eventlog.AdminListenFault},
+		{&l.metrics, p.settings.Listen.Metrics, eventlog.MetricsListenFault},
 	} {
 		if *item.into, err = net.Listen("tcp", item.at.String()); err != nil {
+			p.log.Record(item.fault, eventlog.Fields{"error": err.Error()})
 			return l, fmt.Errorf("listen: %w", err)
 		}
 	}
--- a/peridotcrank/entry/watch.go
+++ b/peridotcrank/entry/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotcrank.dev/claims"
+	"peridotcrank.dev/control"
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/routing"
@@ -23,7 +24,11 @@
 	plans   map[fleet.PlanID]fleet.Plan
 	leaving map[fleet.VMID]bool
 	ready   bool
+	started bool   // The process has been ready before.
+	breaker bool   // The circuit breaker is open.
+	refused uint64 // Sessions of peers refused.
 	lead    uint64 // Timestamps that the clock has ignored.
+	noPool  map[fleet.ServiceName]bool
 }
 
 func newWatcher(p *Process) *watcher {
@@ -59,9 +64,43 @@
 		w.record(eventlog.ClockLeadIgnored, eventlog.Fields{"count": n - w.lead})
 		w.lead = n
 	}
+	w.connectionEvents()
+	w.serviceEvents(state)
+	w.process.budgets.look(w.process.log, state.Config)
 	w.process.summaries.flush(w.process.log)
 }
 
+// connectionEvents records changes of the circuit breaker and refused sessions.
+func (w *watcher) connectionEvents() {
+	if open := !w.process.table.Reachable(); open != w.breaker {
+		w.breaker = open
+		code := eventlog.BreakerClosed
+		if open {
+			code = eventlog.BreakerOpened
+		}
+		w.record(code, nil)
+	}
+	if n := w.process.node.Stats().SessionsRefused; n != w.refused {
+		w.record(eventlog.PeerRefused, eventlog.Fields{"count": n - w.refused})
+		w.refused = n
+	}
+}
+
+// serviceEvents records services whose pool does not exist.
+func (w *watcher) serviceEvents(state *control.State) {
+	now := make(map[fleet.ServiceName]bool)
+	for _, service := range state.Config.Services {
+		if _, ok := state.Fleet.Pools[service.Pool]; ok {
+			continue
+		}
+		now[service.Name] = true
+		if !w.noPool[service.Name] {
+			w.record(eventlog.ConfigServiceNoPool, eventlog.Fields{"service": service.Name, "pool": service.Pool})
+		}
+	}
+	w.noPool = now
+}
+
 func (w *watcher) record(code eventlog.Code, fields eventlog.Fields) {
 	w.process.log.Record(code, fields)
 }
@@ -82,6 +121,10 @@
 	code := eventlog.GatewayNotReady
 	if now {
 		code = eventlog.GatewayReady
+		if !w.started {
+			w.started = true
+			w.record(eventlog.ProcessReady, nil)
+		}
 	}
 	w.record(code, nil)
 }
