--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -12,6 +12,7 @@
 	"net/http/httputil"
 	"net/url"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -122,14 +123,26 @@
 		})
 	}
 	b.ResetTimer()
+	before := cpuTime()
 	close(start)
 	wg.Wait()
 	b.StopTimer()
+	b.ReportMetric(float64(cpuTime()-before)/float64(b.N)/1e3, "cpu-us/op")
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "req/s")
 	b.ReportMetric(float64(total.ValueAtQuantile(50))/1e3, "p50-us")
 	b.ReportMetric(float64(total.ValueAtQuantile(99))/1e3, "p99-us")
 }
 
+// cpuTime returns the CPU time of this process. Unlike the throughput it hardly
+// depends on what else the machine runs.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func benchExchange(nc net.Conn, br *bufio.Reader) error {
 	if _, err := io.WriteString(nc, benchRequest); err != nil {
 		return err
