Cover early returns, grants to leavers and floods with early deadlines

Removing the early return, the release of a slot granted to a request that gives up, or the fair rounds passed the tests before; each now fails one.

--- a/routing/flow_test.go
+++ b/routing/flow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/bits"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -79,7 +80,7 @@
 		}
 		// 12 slots serve 600 requests per second; the flood sends 3,000.
 		for i := range 3000 {
-			send("flood", time.Second)
+			send("flood", 150*time.Millisecond) // Earlier deadlines than the other's.
 			if i%30 == 0 {
 				send("quiet", 200*time.Millisecond)
 			}
@@ -156,6 +157,20 @@
 		time.Sleep(100 * time.Millisecond)
 		synctest.Wait()
 		assert.Equal(t, len(held), 15, "6 of its own slots and 9 borrowed ones")
+		released := 0
+		for key, h := range held {
+			if released < 5 {
+				h.Done(ResultAnswered)
+				delete(held, key)
+				released++
+			}
+		}
+		time.Sleep(2 * BorrowOptions{}.withDefaults().IdleTime)
+		lent := 0
+		for _, b := range m["entry-0"].backends {
+			lent += bits.OnesCount64(b.worker.Borrowed() &^ b.worker.Busy())
+		}
+		assert.Equal(t, lent, 0, "idle borrowed slots go back before their lease ends")
 		for _, h := range held {
 			assert.Assert(t, h.Valid())
 		}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -211,3 +211,16 @@
 	}
 	assert.Equal(t, len(racks), 9)
 }
+
+// Guards against a slot that leaks when it is granted to a request that has
+// given up at the same moment.
+func TestGrantToRequestThatGivesUp(t *testing.T) {
+	r := newRouter(snapshot(1), Options{})
+	held := []Reservation{acquire(t, r, Request{}), acquire(t, r, Request{})}
+	_, entry, err := r.enter(Request{Pool: testPool})
+	assert.NilError(t, err)
+	held[0].Done(ResultAnswered)
+	r.leave(entry)
+	assert.Equal(t, r.InFlight("vm-00", 0), 1)
+	acquire(t, r, Request{})
+}
