Keep impatient callers from ejecting backend servers

A caller's own short deadline was reported as a broken exchange, so callers with deadlines below the service time could eject healthy backend servers. Such an attempt now counts only after four usual service times. Ruled out: ignoring it always, since a hung backend server that only such callers use would then stay in use; the test covers both.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -26,6 +26,7 @@
 	key        string // Idempotency-Key.
 	idempotent bool
 	deadline   time.Time
+	impatient  bool // The caller's deadline is shorter than the service's timeout.
 	body       body
 	bodyRead   bool
 	claimed    *claims.Key // The claim to release when the request is not run.
@@ -95,6 +96,7 @@
 	}
 	timeout, ref := callerTimeout(c.r.Header, c.route.Timeout)
 	c.deadline = c.arrived.Add(timeout)
+	c.impatient = timeout < c.route.Timeout
 	c.idempotent = idempotent(c.r.Method)
 	return ref
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -61,6 +61,8 @@
 	switch {
 	case err != nil && exchange.ProgressOf(err) == exchange.NotWritten:
 		c.endAttempt(routing.ResultNotWritten)
+	case err != nil && c.impatient && errors.Is(err, context.DeadlineExceeded):
+		c.endAttempt(routing.ResultExpired)
 	case err != nil:
 		c.endAttempt(routing.ResultBroken)
 	case resp.Rest == nil:
--- a/routing/dispatch.go
+++ b/routing/dispatch.go
@@ -42,6 +42,10 @@
 	ResultBroken                    // A byte was written and no complete answer arrived.
 	ResultServerError               // A complete answer with status 5xx.
 	ResultAnswered                  // A complete answer with another status.
+	// ResultExpired means that a byte was written and the caller's own deadline,
+	// shorter than the service's timeout, passed before the answer. It says
+	// little about the backend server: otherwise impatient callers could eject it.
+	ResultExpired
 )
 
 // Reservation holds a slot of a backend server until Done is called.
--- a/routing/health_test.go
+++ b/routing/health_test.go
@@ -39,6 +39,28 @@
 	}
 }
 
+// Guards against callers with very short deadlines that eject a healthy backend
+// server, and against a hung one that only such callers use.
+func TestExpiredRequestsCountOnlyAfterUsualTime(t *testing.T) {
+	for held, ejects := range map[time.Duration]bool{time.Millisecond: false, time.Second: true} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRouter(snapshot(9), Options{})
+			answer(t, r, 100, nil, ResultAnswered)
+			for range 3000 {
+				h := acquire(t, r, Request{})
+				if h.Target().VM == "vm-03" {
+					time.Sleep(held)
+					h.Done(ResultExpired)
+					continue
+				}
+				time.Sleep(10 * time.Millisecond)
+				h.Done(ResultAnswered)
+			}
+			assert.Equal(t, r.backends["vm-03"].health.ejections > 0, ejects, "held for %s", held)
+		})
+	}
+}
+
 // Guards against ejecting more than half of a pool, and against ejecting
 // anything because all fail alike.
 func TestEjectionIsBounded(t *testing.T) {
--- a/routing/reservation.go
+++ b/routing/reservation.go
@@ -64,14 +64,24 @@
 	r.send(now)
 }
 
+// expiryEvidence is the number of usual service times after which an expired
+// request counts against the backend server.
+const expiryEvidence = 4
+
 // observe records the result with the backend server's health and the
 // service's times.
 func (h *reservation) observe(now time.Time, result Result) {
 	p, held := h.pool, now.Sub(h.started)
-	// A fast failure says nothing about the time that an answer takes.
-	if result == ResultAnswered || held > p.queue.Service(h.service) {
+	usual := p.queue.Service(h.service)
+	hung := result == ResultExpired && usual > 0 && held >= expiryEvidence*usual
+	// A fast failure says nothing about the time that an answer takes, and one
+	// hung backend server nothing about the others.
+	if result == ResultAnswered || held > usual && !hung {
 		p.queue.Observe(h.service, held)
 	}
+	if result == ResultExpired && !hung {
+		return
+	}
 	b := h.backend
 	if b.health.ejected(now) || b.vm.Generation != h.target.Generation {
 		return
