membership: add a clock that includes suspension

The monotonic reading of time.Now stops while a VM is suspended, so that a resumed process would take its view for valid. The package reads CLOCK_BOOTTIME.

--- /dev/null
+++ b/membership/monotime/clock.go
@@ -0,0 +1,35 @@
+package monotime
+
+import (
+	"fmt"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock reads the time since the machine started, suspension included.
+type Clock struct{}
+
+// New returns the clock, or an error when the system does not offer it.
+func New() (Clock, error) {
+	_, err := read()
+	return Clock{}, err
+}
+
+// Now returns the time since the machine started. It never decreases.
+func (Clock) Now() time.Duration {
+	now, err := read()
+	if err != nil {
+		// New has read the same clock; the system cannot have lost it.
+		panic(err)
+	}
+	return now
+}
+
+func read() (time.Duration, error) {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return 0, fmt.Errorf("monotime: read CLOCK_BOOTTIME: %w", err)
+	}
+	return time.Duration(now.Nano()), nil
+}
