Count the bytes and requests of control traffic and measure them live

The metrics endpoint now has the bytes of the sessions to peers (with yamux) and of the connections to the platform, the messages between entry processes and the requests to the platform by operation. The counts are taken at the connections, so that they hold what the frames of peer.Stats leave out.

scripts/capacity.sh runs the platform stand-in and entry processes at one size and prints rates in the format of Go benchmarks. PORTS sets the base number of all ports, so that runs on one machine do not collide; it was fixed before.

--- a/eventlog/metrics/metrics_test.go
+++ b/eventlog/metrics/metrics_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+
+	"peridotcrank.dev/eventlog/wire"
 )
 
 // report uses each instrument once, so that each appears in the output.
@@ -32,6 +34,12 @@
 	m.SetConfigVersion(12)
 	m.SetFleetRevision(480)
 	m.SetViewValid(true)
+	assert.NilError(t, m.ObserveTraffic(func() ControlTraffic {
+		return ControlTraffic{
+			Peers: wire.Totals{Sent: 1, Received: 2}, Platform: wire.Totals{Sent: 3, Received: 4},
+			PeerSent: 5, PeerReceived: 6, StoreReads: 7, StoreWrites: 8, VMLists: 9,
+		}
+	}))
 	return m
 }
 
--- /dev/null
+++ b/eventlog/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire counts the bytes of network connections, for metrics.
+package wire
--- a/peer/link.go
+++ b/peer/link.go
@@ -75,7 +75,7 @@
 func (l *link) dial() (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.node.config.HelloTimeout)
 	defer cancel()
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", l.member.PeerAddress)
+	conn, err := l.node.counts.wire.DialContext(ctx, "tcp", l.member.PeerAddress)
 	if err != nil {
 		return nil, l.fail(StepDial, err)
 	}
--- a/peer/stats.go
+++ b/peer/stats.go
@@ -1,6 +1,10 @@
 package peer
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"peridotcrank.dev/eventlog/wire"
+)
 
 // ClassStats counts the messages and bytes of one traffic class. Bytes are
 // those of the frames, before yamux and TLS.
@@ -12,6 +16,8 @@
 // Stats is a snapshot of a node's counters.
 type Stats struct {
 	Control, Claims ClassStats
+	// Wire are the bytes of all sessions, with yamux and TLS.
+	Wire wire.Totals
 
 	RepliesUnmatched     uint64 // Late, duplicate or unknown replies, dropped.
 	RepliesDropped       uint64 // Replies not sent because the queue was full.
@@ -37,6 +43,7 @@
 
 type counters struct {
 	classes                              [classCount]classCounters
+	wire                                 wire.Counter
 	repliesUnmatched, repliesDropped     atomic.Uint64
 	notificationsDropped                 atomic.Uint64
 	requestsRefused, queueFull, expired  atomic.Uint64
@@ -49,6 +56,7 @@
 	return Stats{
 		Control:              c.classes[ClassControl].snapshot(),
 		Claims:               c.classes[ClassClaims].snapshot(),
+		Wire:                 c.wire.Totals(),
 		RepliesUnmatched:     c.repliesUnmatched.Load(),
 		RepliesDropped:       c.repliesDropped.Load(),
 		NotificationsDropped: c.notificationsDropped.Load(),
--- a/peridotcrank/entry/observe.go
+++ b/peridotcrank/entry/observe.go
@@ -59,6 +59,18 @@
 	return err.Error()
 }
 
+// controlTraffic returns the counts of the control messages of this process.
+func (p *Process) controlTraffic() metrics.ControlTraffic {
+	peers := p.node.Stats()
+	platform := p.table.Traffic().Plus(p.platform.Traffic())
+	return metrics.ControlTraffic{
+		Peers: peers.Wire, Platform: platform.Totals,
+		PeerSent:     peers.Control.MessagesSent + peers.Claims.MessagesSent,
+		PeerReceived: peers.Control.MessagesReceived + peers.Claims.MessagesReceived,
+		StoreReads:   platform.Reads, StoreWrites: platform.Writes, VMLists: platform.Lists,
+	}
+}
+
 // collect copies the control state into gauges until ctx ends.
 func (p *Process) collect(ctx context.Context) {
 	ticker := time.NewTicker(collectInterval)
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -113,6 +113,9 @@
 func (p *Process) buildTraffic() (err error) {
 	p.router = routing.New(routing.Options{Peers: peering.New(p.node)})
 	peering.ServeSlots(p.node, p.router)
+	if err := p.metrics.ObserveTraffic(p.controlTraffic); err != nil {
+		return err
+	}
 	p.claims, err = claims.New(p.claimsConfig())
 	if err != nil {
 		return err
--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,101 @@
+#!/usr/bin/env bash
+# Measures idle entry processes and configuration changes at one size, in
+# separate processes on loopback. Prints lines in the format of Go benchmarks.
+#
+#   capacity.sh WORKERS MEMBERS
+#
+# IDLE is the length of the idle phase in seconds, CHANGES the number of
+# configuration changes, one a second. PORTS is the base number of the ports.
+set -euo pipefail
+WORKERS=$1
+MEMBERS=$2
+IDLE=${IDLE:-15}
+CHANGES=${CHANGES:-15}
+PORTS=${PORTS:-24000}
+SITE_NAME=scaled-$WORKERS
+source "$(dirname "$0")/lib.sh"
+trap stop_all EXIT
+printf %s "$TOKEN" >"$RUN/token"
+chmod 600 "$RUN/token"
+
+# The services grow with the workers up to 230, one for each team, at 4,100 workers.
+SERVICES=$((WORKERS * 230 / 4100))
+SERVICES=$((SERVICES < 4 ? 4 : SERVICES))
+# Settling time of slots and of the first reads, in seconds.
+SETTLE=4
+
+# write_services TIMEOUT
+write_services() {
+  local i
+  echo "services:"
+  for i in $(seq "$SERVICES"); do
+    printf '  - {name: service-%03d, path_prefix: /service-%03d/, pool: pool-%02d, timeout: %s, availability_target: 0.999}\n' \
+      "$i" "$i" $(((i - 1) % 24 + 1)) "$1"
+  done
+}
+
+has_members() { [ "$(operator 1 member list | grep -c 'entry-')" -ge "$MEMBERS" ]; }
+in_force() { operator 1 config status --require-in-force; }
+
+# sample FILE: the metrics of all entry processes and the time, summed by name and labels.
+sample() {
+  local n
+  { echo "time $(date +%s.%N)"
+    for n in $(seq "$MEMBERS"); do curl -fsS "http://$(metrics_of "$n")/metrics" | grep -E '^(process_(cpu|resident)|go_memstats_(heap_inuse|alloc)_bytes |peridotcrank_(control|platform))'; done
+  } | awk '{sum[$1]+=$2; if ($2>max[$1]) max[$1]=$2} END {for (k in sum) printf "%s %.6f %.6f\n", k, sum[k], max[k]}' >"$1"
+}
+
+# report NAME FROM TO [EXTRA]: the rates between two samples, for each process.
+report() {
+  awk -v name="$1" -v members="$MEMBERS" -v workers="$WORKERS" -v services="$SERVICES" -v extra="${4:-}" '
+    FNR==NR {from[$1]=$2; next} {to[$1]=$2; max[$1]=$3}
+    function rate(k) {return (to[k]-from[k])/seconds/members}
+    END {
+      seconds=to["time"]-from["time"]
+      b="peridotcrank_control_bytes_total"
+      printf "Benchmark%s/members=%d/services=%d/workers=%d 1", name, members, services, workers
+      printf " %.3f cpu-%%", 100*rate("process_cpu_seconds_total")
+      printf " %.1f rss-MB", to["process_resident_memory_bytes"]/members/1e6
+      printf " %.1f rss-max-MB", max["process_resident_memory_bytes"]/1e6
+      printf " %.0f peer-sent-B/s", rate(b "{direction=\"sent\",side=\"peers\"}")
+      printf " %.0f peer-received-B/s", rate(b "{direction=\"received\",side=\"peers\"}")
+      printf " %.0f platform-sent-B/s", rate(b "{direction=\"sent\",side=\"platform\"}")
+      printf " %.0f platform-received-B/s", rate(b "{direction=\"received\",side=\"platform\"}")
+      printf " %.2f messages/s", rate("peridotcrank_control_messages_total{direction=\"sent\"}")
+      printf " %.2f reads/s", rate("peridotcrank_platform_requests_total{operation=\"read\"}")
+      printf " %.2f writes/s", rate("peridotcrank_platform_requests_total{operation=\"write\"}")
+      printf " %.2f lists/s%s\n", rate("peridotcrank_platform_requests_total{operation=\"list-vms\"}"), extra
+    }' "$2" "$3"
+}
+
+# roll_outs FILE: quantiles of the time to in force everywhere.
+roll_outs() {
+  grep -oE 'roll_out_us":[0-9]+' "$1" | cut -d: -f2 | tail -n +2 | sort -n | awk '
+    {v[NR]=$1} function q(p) {i=int(p*NR+0.999); return v[i<1?1:i]/1000}
+    END {if (NR) printf " %d roll-outs %.1f p50-ms %.1f p99-ms %.1f max-ms", NR, q(.5), q(.99), v[NR]/1000}'
+}
+
+start platform "$BIN/testbed" platform --workers "$WORKERS" --base-port "$BASE_PORT" --listen "$PLATFORM" --control "$CONTROL"
+wait_for 10 curl -fsS "http://$PLATFORM/v1/vms"
+for n in $(seq "$MEMBERS"); do start_entry "$n" "zone-$n"; done
+for n in $(seq "$MEMBERS"); do wait_for 20 curl -s "http://$(admin_of "$n")/v1/members"; done
+wait_for 30 has_members
+write_services 1900ms >"$RUN/services.yaml"
+operator 1 config set "$RUN/services.yaml" >"$RUN/set.log"
+wait_for 13 in_force
+for n in $(seq "$MEMBERS"); do wait_for 30 ready "$n"; done
+sleep "$SETTLE"
+
+sample "$RUN/idle-from"
+sleep "$IDLE"
+sample "$RUN/idle-to"
+report LiveIdle "$RUN/idle-from" "$RUN/idle-to"
+
+for i in $(seq "$CHANGES"); do
+  write_services $((1000 + i))ms >"$RUN/services.yaml"
+  operator 1 config set "$RUN/services.yaml" >>"$RUN/set.log"
+  sleep 0.95
+done
+wait_for 13 in_force
+sample "$RUN/changes-to"
+report LiveChanges "$RUN/idle-to" "$RUN/changes-to" "$(roll_outs "$RUN/entry-1.log")"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -28,9 +28,9 @@
 in_force() { operator "$1" config status | grep -q "version $2: in force"; }
 
 echo "== start the platform, 49 backend servers and three entry processes"
-start backend "$BIN/testbed" backend --site quokka
+start backend "$BIN/testbed" backend --site quokka --base-port "$BASE_PORT" --control "$CONTROL"
 wait_for 10 curl -fsS "http://$CONTROL/v1/runs"
-start platform "$BIN/testbed" platform --site quokka
+start platform "$BIN/testbed" platform --site quokka --base-port "$BASE_PORT" --listen "$PLATFORM" --control "$CONTROL"
 wait_for 10 curl -fsS "http://$PLATFORM/v1/vms"
 start_entry 1 wa-south-a
 start_entry 2 wa-south-b
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -2,17 +2,20 @@
 # A process of the product starts no other process; these scripts do.
 
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
-BIN="$ROOT/bin"
+BIN=${BIN:-"$ROOT/bin"}
 RUN=${RUN:-$(mktemp -d)}
 PIDS=()
 
-PLATFORM=127.0.0.1:20001
-CONTROL=127.0.0.1:20002
-BASE_PORT=21000
+# PORTS is the base number of all ports, so that runs on one machine do not collide.
+PORTS=${PORTS:-20000}
+PLATFORM=127.0.0.1:$((PORTS + 1))
+CONTROL=127.0.0.1:$((PORTS + 2))
+BASE_PORT=$((PORTS + 1000))
 TOKEN=demo-operator-token-0123456789abcdef
 
-callers_of() { echo "127.0.0.1:$((22000 + $1))"; }
-admin_of() { echo "127.0.0.1:$((22200 + $1))"; }
+callers_of() { echo "127.0.0.1:$((PORTS + 2000 + $1))"; }
+admin_of() { echo "127.0.0.1:$((PORTS + 2200 + $1))"; }
+metrics_of() { echo "127.0.0.1:$((PORTS + 2300 + $1))"; }
 
 # start NAME COMMAND...: runs a command in the background with its output in $RUN/NAME.log.
 start() {
@@ -54,9 +57,9 @@
 zone: $2
 listen:
   callers: $(callers_of "$1")
-  peers: 127.0.0.1:$((22100 + $1))
+  peers: 127.0.0.1:$((PORTS + 2100 + $1))
   admin: $(admin_of "$1")
-  metrics: 127.0.0.1:$((22300 + $1))
+  metrics: $(metrics_of "$1")
 platform:
   url: http://$PLATFORM
   timeout: 1s
--- a/store/http.go
+++ b/store/http.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"peridotcrank.dev/eventlog/wire"
 )
 
 const (
@@ -29,6 +31,7 @@
 	base   string
 	client string
 	http   *http.Client
+	counts counts
 }
 
 // NewHTTPTransport returns a transport to the service at base, for example
@@ -38,11 +41,14 @@
 	if err != nil || u.Scheme == "" || u.Host == "" {
 		return nil, fmt.Errorf("address of the table service: %q is not of the form http://host:port", base)
 	}
-	return &HTTPTransport{base: u.Scheme + "://" + u.Host, client: client, http: newHTTPClient()}, nil
+	t := &HTTPTransport{base: u.Scheme + "://" + u.Host, client: client}
+	t.http = newHTTPClient(&t.counts.wire)
+	return t, nil
 }
 
-func newHTTPClient() *http.Client {
+func newHTTPClient(counter *wire.Counter) *http.Client {
 	return &http.Client{Transport: &http.Transport{
+		DialContext:         counter.DialContext,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     90 * time.Second,
 	}}
@@ -56,6 +62,7 @@
 
 // Rows implements Transport.
 func (t *HTTPTransport) Rows(ctx context.Context, prefix string, since Version, etag string) (Rows, error) {
+	t.counts.reads.Add(1)
 	q := url.Values{"prefix": {prefix}, "since": {strconv.FormatUint(since, 10)}}
 	header := http.Header{}
 	if etag != "" {
@@ -84,6 +91,7 @@
 
 // Commit implements Transport.
 func (t *HTTPTransport) Commit(ctx context.Context, tx Transaction) (Result, error) {
+	t.counts.writes.Add(1)
 	body, err := json.Marshal(tx)
 	if err != nil {
 		return Result{}, fmt.Errorf("encode transaction: %w: %w", ErrInvalid, err)
--- a/store/platform.go
+++ b/store/platform.go
@@ -76,6 +76,7 @@
 
 // VMs implements Platform.
 func (p *HTTPPlatform) VMs(ctx context.Context) (VMList, error) {
+	p.t.counts.lists.Add(1)
 	list := VMList{AsOf: time.Now()}
 	_, err := p.call(ctx, "list VMs", http.MethodGet, "/v1/vms", nil, &list)
 	return list, err
