--- a/control/plans/bench_test.go
+++ b/control/plans/bench_test.go
@@ -39,8 +39,8 @@
 	return d, &now
 }
 
-// BenchmarkStep is one decision on a plan whose lease is held.
-func BenchmarkStep(b *testing.B) {
+// BenchmarkScaleStep is one decision on a plan whose lease is held.
+func BenchmarkScaleStep(b *testing.B) {
 	for _, workers := range benchSizes {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			d, now := benchDriver(b, workers)
@@ -52,8 +52,8 @@
 	}
 }
 
-// BenchmarkIdleTick is a refresh without changes and a decision that has nothing to do.
-func BenchmarkIdleTick(b *testing.B) {
+// BenchmarkScaleIdleTick is a refresh without changes and a decision that has nothing to do.
+func BenchmarkScaleIdleTick(b *testing.B) {
 	for _, workers := range benchSizes {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			d, now := benchDriver(b, workers)
@@ -69,8 +69,8 @@
 	}
 }
 
-// BenchmarkLoadSnapshot is the first refresh of a process.
-func BenchmarkLoadSnapshot(b *testing.B) {
+// BenchmarkScaleLoadSnapshot is the first refresh of a process.
+func BenchmarkScaleLoadSnapshot(b *testing.B) {
 	for _, workers := range benchSizes {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			d, _ := benchDriver(b, workers)
--- a/control/poll.go
+++ b/control/poll.go
@@ -86,18 +86,23 @@
 	}
 }
 
+// leavingOf returns the VMs that a list names as leaving.
+func leavingOf(list store.VMList) map[fleet.VMID]bool {
+	leaving := make(map[fleet.VMID]bool)
+	for _, vm := range list.VMs {
+		if vm.State == store.VMLeaving {
+			leaving[vm.ID] = true
+		}
+	}
+	return leaving
+}
+
 func (c *Controller) pollVMs(ctx context.Context) {
 	ticker := time.NewTicker(c.options.Poll)
 	defer ticker.Stop()
 	for {
 		if list, err := c.options.Platform.VMs(ctx); err == nil {
-			leaving := make(map[fleet.VMID]bool)
-			for _, vm := range list.VMs {
-				if vm.State == store.VMLeaving {
-					leaving[vm.ID] = true
-				}
-			}
-			c.send(ctx, vmsListed{leaving: leaving})
+			c.send(ctx, vmsListed{leaving: leavingOf(list)})
 		}
 		select {
 		case <-ctx.Done():
--- a/fleet/planner/bench_test.go
+++ b/fleet/planner/bench_test.go
@@ -9,14 +9,14 @@
 	"peridotcrank.dev/fleet/planner"
 )
 
-// BenchmarkPlan plans at the sizes of today and of two years from now.
-func BenchmarkPlan(b *testing.B) {
+// BenchmarkScalePlan plans at the sizes of today and of two years from now.
+func BenchmarkScalePlan(b *testing.B) {
 	for _, workers := range []int{49, 500, 1500, 4100} {
 		s := fleettest.Fleet(fleettest.Sized(workers))
 		for name, intent := range map[string]fleet.Intent{
 			"capacity": capacity("pool-00", s.Pools["pool-00"].Capacity+4), "rack": emptyRack("rack-0000"),
 		} {
-			b.Run(fmt.Sprintf("%s/workers=%d", name, workers), func(b *testing.B) {
+			b.Run(fmt.Sprintf("intent=%s/workers=%d", name, workers), func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
 					if _, err := planner.Plan(s, intent, planner.Options{}); err != nil {
--- a/testbed/platform/bench_test.go
+++ b/testbed/platform/bench_test.go
@@ -43,17 +43,17 @@
 	return c.Conn.Write(p)
 }
 
-// BenchmarkRead reads the VM rows over HTTP: all of them, one changed row, and
+// BenchmarkScaleRead reads the VM rows over HTTP: all of them, one changed row, and
 // none (304). wire-B/op counts request and response with headers; B/op includes
 // the server, which runs in the same process.
-func BenchmarkRead(b *testing.B) {
+func BenchmarkScaleRead(b *testing.B) {
 	for _, workers := range []int{49, 500, 1500, 4100} {
 		table := storetest.New()
 		assert.NilError(b, platform.Seed(table, fleettest.Fleet(fleettest.Sized(workers))))
 		snap, _ := table.Rows("vm/", 0)
 		changed := table.Apply(store.Transaction{Writes: []store.Write{{Key: snap.Rows[0].Key, Value: snap.Rows[0].Value}}})
 		for name, since := range map[string]store.Version{"all": 0, "one": changed.Revision - 1, "none": changed.Revision} {
-			b.Run(fmt.Sprintf("%s/workers=%d", name, workers), func(b *testing.B) { benchmarkRead(b, table, since) })
+			b.Run(fmt.Sprintf("rows=%s/workers=%d", name, workers), func(b *testing.B) { benchmarkRead(b, table, since) })
 		}
 	}
 }
