--- a/control/plans/bench_test.go
+++ b/control/plans/bench_test.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// BenchmarkStep is one decision on a plan whose lease is held.
-func BenchmarkStep(b *testing.B) {
+// BenchmarkScaleStep is one decision on a plan whose lease is held.
+func BenchmarkScaleStep(b *testing.B) {
 	benchmark(b, func(b *testing.B, d *Driver, now time.Time) {
 		for b.Loop() {
 			d.Decide(now)
@@ -58,8 +58,8 @@
 	})
 }
 
-// BenchmarkIdleTick is a refresh without changes and a decision that has nothing to do.
-func BenchmarkIdleTick(b *testing.B) {
+// BenchmarkScaleIdleTick is a refresh without changes and a decision that has nothing to do.
+func BenchmarkScaleIdleTick(b *testing.B) {
 	benchmark(b, func(b *testing.B, d *Driver, _ time.Time) {
 		d.options.Limits.Renew, d.options.Limits.Poll = time.Hour, time.Hour
 		for b.Loop() {
@@ -68,9 +68,9 @@
 	})
 }
 
-// BenchmarkLoadSnapshot is the first refresh of a process. retained-B is the
+// BenchmarkScaleLoadSnapshot is the first refresh of a process. retained-B is the
 // heap that the snapshot holds.
-func BenchmarkLoadSnapshot(b *testing.B) {
+func BenchmarkScaleLoadSnapshot(b *testing.B) {
 	benchmark(b, func(b *testing.B, d *Driver, _ time.Time) {
 		var s *fleet.Snapshot
 		before := heap()
--- a/peridotcrank/entry/observe.go
+++ b/peridotcrank/entry/observe.go
@@ -156,3 +156,15 @@
 	}
 	return eventlog.MoveStepRetried
 }
+
+// controlTraffic returns the counts of the control messages of this process.
+func (p *Process) controlTraffic() metrics.ControlTraffic {
+	peers := p.node.Stats()
+	platform := p.table.Traffic().Plus(p.platform.Traffic())
+	return metrics.ControlTraffic{
+		Peers: peers.Wire, Platform: platform.Totals,
+		PeerSent:     peers.Control.MessagesSent + peers.Claims.MessagesSent,
+		PeerReceived: peers.Control.MessagesReceived + peers.Claims.MessagesReceived,
+		StoreReads:   platform.Reads, StoreWrites: platform.Writes, VMLists: platform.Lists,
+	}
+}
--- a/testbed/platform/bench_test.go
+++ b/testbed/platform/bench_test.go
@@ -45,10 +45,10 @@
 	return c.Conn.Write(p)
 }
 
-// BenchmarkRead reads the VM rows over HTTP: all of them, one changed row, and
+// BenchmarkScaleRead reads the VM rows over HTTP: all of them, one changed row, and
 // none (304). wire-B/op counts request and response with headers. The replies are
 // made beforehand, so that B/op is close to what the client alone allocates.
-func BenchmarkRead(b *testing.B) {
+func BenchmarkScaleRead(b *testing.B) {
 	for _, workers := range []int{49, 500, 1500, 4100} {
 		table := storetest.New()
 		assert.NilError(b, platform.Seed(table, fleettest.Fleet(fleettest.Sized(workers))))
