Check silence, answers and shares of a run and stop processes in order

verify could not see a request that reached a leaving VM, one sent by an entry process without a valid view, or failing servers that attract traffic. The load now records when and where each submission went, the backend servers record requests they answered with 500, and verify checks windows, answers, services without any answer and shares. Each check has a test that plants its fault.

The scripts ended the platform together with the entry processes, which then could not leave the member view, and signalled process IDs that might belong to others. Entry processes now end first, by ID, and only children of the script are signalled. All ports follow from one number, PORTS.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,10 @@
 demo: build
 	./scripts/demo.sh
 
+# Runs processes under injected faults, one row per case; CASES selects some.
+matrix: build
+	./scripts/matrix.sh $(CASES)
+
 fmt:
 	gofmt -w $(MODULES)
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,28 +9,10 @@
 printf %s "$TOKEN" >"$RUN/token"
 chmod 600 "$RUN/token"
 
-# write_services TIMEOUT: the site's services with a timeout.
-write_services() {
-  echo "services:"
-  local pool
-  for pool in counterdesk stockroom webshop stalltill; do
-    echo "  - {name: $pool, path_prefix: /$pool/, pool: $pool, timeout: $1, availability_target: 0.999}"
-  done
-}
-
-# has_member N ID: whether entry process N lists a member.
-has_member() { operator "$1" member list | grep -q "$2"; }
-
-# plan_done N PLAN: whether a plan has ended.
-plan_done() { operator "$1" plan show "$2" | grep -qE "^State +done"; }
-
-# in_force N VERSION: whether entry process N reports the version in force everywhere.
-in_force() { operator "$1" config status | grep -q "version $2: in force"; }
-
 echo "== start the platform, 49 backend servers and three entry processes"
-start backend "$BIN/testbed" backend --site quokka
+start backend "$BIN/testbed" backend --site quokka --base-port "$BASE_PORT" --control "$CONTROL"
 wait_for 10 curl -fsS "http://$CONTROL/v1/runs"
-start platform "$BIN/testbed" platform --site quokka
+start platform "$BIN/testbed" platform --site quokka --base-port "$BASE_PORT" --listen "$PLATFORM" --control "$CONTROL"
 wait_for 10 curl -fsS "http://$PLATFORM/v1/vms"
 start_entry 1 wa-south-a
 start_entry 2 wa-south-b
--- a/testbed/backend/ledger.go
+++ b/testbed/backend/ledger.go
@@ -18,6 +18,8 @@
 	End   int64 `json:"end_us"`
 	// Running counts the requests that ran on the VM at the start, this one included.
 	Running int `json:"running"`
+	// Failed reports that the request was answered with status 500 and took no slot.
+	Failed bool `json:"failed,omitempty"`
 }
 
 // Ledger records runs in the order of their starts.
--- a/testbed/backend/server.go
+++ b/testbed/backend/server.go
@@ -136,16 +136,19 @@
 	if r.URL.Path == probePath {
 		return // A probe runs nothing and is not recorded.
 	}
+	entry := Run{
+		VM: s.options.VM, Service: firstSegment(r.URL.Path), Method: r.Method,
+		Key: r.Header.Get(HeaderKey), Request: r.Header.Get(HeaderRequest),
+	}
 	if s.mode.Load() == ModeError {
+		entry.Failed = true
+		s.options.Ledger.end(s.options.Ledger.start(entry))
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
 	}
-	running := int(s.running.Add(1))
+	entry.Running = int(s.running.Add(1))
 	defer s.running.Add(-1)
-	run := s.options.Ledger.start(Run{
-		VM: s.options.VM, Service: firstSegment(r.URL.Path), Method: r.Method,
-		Key: r.Header.Get(HeaderKey), Request: r.Header.Get(HeaderRequest), Running: running,
-	})
+	run := s.options.Ledger.start(entry)
 	s.slots <- struct{}{}
 	s.work(r.Context())
 	<-s.slots
--- a/testbed/load/report.go
+++ b/testbed/load/report.go
@@ -17,6 +17,8 @@
 	Key      string        `json:"key,omitempty"`
 	Request  string        `json:"request"`
 	Outcomes []Outcome     `json:"outcomes"` // One for each submission.
+	Entries  []string      `json:"entries"`  // Entry process that each submission was sent to.
+	Sent     []int64       `json:"sent_us"`  // Time of each submission, in microseconds since the Unix epoch.
 	Intended int64         `json:"intended_us"`
 	Latency  time.Duration `json:"latency_ns"` // From the intended start to the last outcome.
 }
@@ -24,6 +26,15 @@
 // Last returns the outcome of the last submission.
 func (r Record) Last() Outcome { return r.Outcomes[len(r.Outcomes)-1] }
 
+// Ended returns the time of the last outcome, in microseconds since the Unix epoch.
+func (r Record) Ended() int64 { return r.Intended + r.Latency.Microseconds() }
+
+// SubmissionRequest returns the request identity that the backend server sees
+// for a submission, counted from 0.
+func (r Record) SubmissionRequest(submission int) string {
+	return fmt.Sprintf("%s-%d", r.Request, submission)
+}
+
 // Report is the result of a run.
 type Report struct {
 	Site    string   `json:"site"`
--- a/testbed/load/run.go
+++ b/testbed/load/run.go
@@ -38,13 +38,14 @@
 	customers         = 40
 )
 
-// Run sends the load and returns what callers saw.
+// Run sends the load and returns what callers saw. When ctx ends it sends no
+// new request and waits for those in progress.
 func Run(ctx context.Context, o Options) *Report {
-	ctx, cancel := context.WithCancel(ctx)
+	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	b := newBalancer(o.Entries)
-	b.probeAll(ctx)
-	go b.run(ctx)
+	b.probeAll(calls)
+	go b.run(calls)
 
 	rng := rand.New(rand.NewPCG(o.Seed, 2))
 	var services []string
@@ -59,7 +60,7 @@
 		Timeout:   callerTimeout,
 		Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, MaxIdleConns: 0},
 	}}
-	r.play(ctx, draw(phases, services, rng), rng)
+	r.play(ctx, calls, draw(phases, services, rng), rng)
 	return r.report
 }
 
@@ -71,12 +72,10 @@
 	wait     sync.WaitGroup
 }
 
-func (r *runner) play(ctx context.Context, arrivals []arrival, rng *rand.Rand) {
+func (r *runner) play(ctx, calls context.Context, arrivals []arrival, rng *rand.Rand) {
 	start := time.Now()
 	for i, a := range arrivals {
-		if d := time.Until(start.Add(a.at)); d > 0 {
-			time.Sleep(d)
-		}
+		pause(ctx, time.Until(start.Add(a.at)))
 		if ctx.Err() != nil {
 			break
 		}
@@ -92,12 +91,25 @@
 		r.wait.Add(1)
 		go func() {
 			defer r.wait.Done()
-			r.call(ctx, s, start.Add(a.at))
+			r.call(calls, s, start.Add(a.at))
 		}()
 	}
 	r.wait.Wait()
 }
 
+// pause waits for a time or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // call sends a request and, as long as its outcome is in doubt, sends the same
 // key again through another entry process.
 func (r *runner) call(ctx context.Context, s submission, intended time.Time) {
@@ -106,7 +118,9 @@
 	for attempt := 0; ; attempt++ {
 		entry = r.balancer.pick(entry)
 		sent := s
-		sent.request = fmt.Sprintf("%s-%d", s.request, attempt)
+		sent.request = record.SubmissionRequest(attempt)
+		record.Entries = append(record.Entries, entry)
+		record.Sent = append(record.Sent, time.Now().UnixMicro())
 		outcome := sent.send(ctx, r.client, entry)
 		record.Outcomes = append(record.Outcomes, outcome)
 		inDoubt := outcome == Unknown || outcome == Broken || outcome == NotSent
--- a/testbed/load_command.go
+++ b/testbed/load_command.go
@@ -3,16 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
-	"peridotcrank.dev/testbed/backend"
 	"peridotcrank.dev/testbed/load"
 	"peridotcrank.dev/testbed/site"
-	"peridotcrank.dev/testbed/verify"
 )
 
 type loadCommand struct {
@@ -28,13 +26,15 @@
 	Output        string        `long:"output" description:"file for the report in JSON"`
 }
 
-// Execute sends the load and prints what callers saw.
+// Execute sends the load until its end or SIGTERM and prints what callers saw.
 func (c *loadCommand) Execute([]string) error {
 	s, err := site.ByName(c.Site)
 	if err != nil {
 		return err
 	}
-	report := load.Run(context.Background(), load.Options{
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	report := load.Run(ctx, load.Options{
 		Site: s, Entries: c.Entries, ServiceTime: c.ServiceTime, Surge: c.Surge, Length: c.Length, Scale: c.Scale,
 		OrderShare: c.OrderShare, Resubmissions: c.Resubmissions, Seed: c.Seed,
 	})
@@ -53,47 +53,3 @@
 	}
 	return nil
 }
-
-type verifyCommand struct {
-	Report  string `long:"report" required:"true" description:"report of the load in JSON"`
-	Control string `long:"control" default:"127.0.0.1:20002" description:"control endpoint of the backend servers"`
-}
-
-// Execute prints the broken guarantees and fails when there is one.
-func (c *verifyCommand) Execute([]string) error {
-	document, err := os.ReadFile(c.Report)
-	if err != nil {
-		return fmt.Errorf("read report: %w", err)
-	}
-	var report load.Report
-	if err := json.Unmarshal(document, &report); err != nil {
-		return fmt.Errorf("decode report: %w", err)
-	}
-	runs, err := fetchRuns(c.Control)
-	if err != nil {
-		return err
-	}
-	result := verify.Compare(&report, runs)
-	fmt.Printf("callers' requests: %d, runs on backend servers: %d, starts above the slots of a VM: %d, broken guarantees: %d\n",
-		len(report.Records), result.Runs, result.Overrun, len(result.Findings))
-	for _, finding := range result.Findings {
-		fmt.Printf("BROKEN: %s: %s\n", finding.Guarantee, finding.Detail)
-	}
-	if len(result.Findings) > 0 {
-		return errors.New("a guarantee was broken")
-	}
-	return nil
-}
-
-func fetchRuns(control string) ([]backend.Run, error) {
-	response, err := http.Get("http://" + control + "/v1/runs")
-	if err != nil {
-		return nil, fmt.Errorf("fetch runs: %w", err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	var runs []backend.Run
-	if err := json.NewDecoder(response.Body).Decode(&runs); err != nil {
-		return nil, fmt.Errorf("decode runs: %w", err)
-	}
-	return runs, nil
-}
--- a/testbed/main.go
+++ b/testbed/main.go
@@ -24,6 +24,8 @@
 	add("backend", "Run the backend servers of a site's VMs", &backendCommand{})
 	add("load", "Send a site's load to entry processes", &loadCommand{})
 	add("verify", "Compare what callers saw with what backend servers ran", &verifyCommand{})
+	add("versions", "Check that the configuration in force never becomes older", &versionsCommand{})
+	add("phase", "Wait until a plan's VM has reached a phase", &phaseCommand{})
 	if _, err := parser.Parse(); err != nil {
 		var flagsError *flags.Error
 		if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
