--- a/control/options.go
+++ b/control/options.go
@@ -52,7 +52,7 @@
 	// Timeout bounds one call to a peer. Default 1 s.
 	Timeout time.Duration
 	Params  membership.Params
-	// Now is a clock that includes time in which the process was suspended. Default BootTime.
+	// Now is a clock that includes time in which the process was suspended. Required.
 	Now func() time.Duration
 }
 
@@ -72,9 +72,6 @@
 	if o.Params == (membership.Params{}) {
 		o.Params = membership.DefaultParams()
 	}
-	if o.Now == nil {
-		o.Now = BootTime
-	}
 	if o.OnMembers == nil {
 		o.OnMembers = func(fleet.MemberView, fleet.Member) {}
 	}
@@ -86,8 +83,8 @@
 	switch {
 	case o.Self.ID == "":
 		return errors.New("control options: the member has no ID")
-	case o.Table == nil || o.Platform == nil || o.Peers == nil || o.Traffic == nil || o.Log == nil:
-		return errors.New("control options: table, platform, peers, traffic and log are required")
+	case o.Table == nil || o.Platform == nil || o.Peers == nil || o.Traffic == nil || o.Log == nil || o.Now == nil:
+		return errors.New("control options: table, platform, peers, traffic, log and clock are required")
 	case o.Poll < 0 || o.Timeout < 0:
 		return errors.New("control options: negative time")
 	}
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -21,6 +21,7 @@
 	"peridotcrank.dev/exchange"
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/gateway"
+	"peridotcrank.dev/membership/monotime"
 	"peridotcrank.dev/peer"
 	"peridotcrank.dev/routing"
 	"peridotcrank.dev/settings"
@@ -30,6 +31,7 @@
 // Process is an entry process.
 type Process struct {
 	settings   settings.Settings
+	clock      monotime.Clock
 	log        *eventlog.Log
 	metrics    *metrics.Metrics
 	table      *store.Client
@@ -49,7 +51,11 @@
 
 // New builds a process from settings. It listens for peers, but does nothing else before Run.
 func New(s settings.Settings) (*Process, error) {
-	p := &Process{settings: s, summaries: newSummaries(), budgets: newBudgets()}
+	clock, err := monotime.New()
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{settings: s, clock: clock, summaries: newSummaries(), budgets: newBudgets()}
 	steps := []struct {
 		name  string
 		build func() error
@@ -135,14 +141,14 @@
 		Self: p.settings.Member, Transport: claims.PeerTransport{Node: p.node},
 		// The control loop is built later; no claim is made before it runs.
 		Valid: func() bool { return p.controller != nil && p.controller.Valid() },
-		Now:   control.BootTime, Window: p.settings.Limits.ClaimWindow, MaxRecords: p.settings.Limits.Claims,
+		Now:   p.clock.Now, Window: p.settings.Limits.ClaimWindow, MaxRecords: p.settings.Limits.Claims,
 	}
 }
 
 func (p *Process) buildControl() (err error) {
 	p.controller, err = control.New(control.Options{
 		Self: p.self(), Table: observedTable{p.table, p}, Platform: p.platform, Peers: peering.New(p.node), Traffic: p.router,
-		Log: p.log, Poll: p.settings.Platform.PollInterval, OnMembers: p.adoptMembers,
+		Log: p.log, Now: p.clock.Now, Poll: p.settings.Platform.PollInterval, OnMembers: p.adoptMembers,
 	})
 	if err != nil {
 		return err
@@ -192,7 +198,7 @@
 
 func (p *Process) buildAdmin() error {
 	backend := operations.New(operations.Options{
-		Controller: p.controller, Table: control.NewCachedTable(p.controller), Log: p.log, Now: control.BootTime,
+		Controller: p.controller, Table: control.NewCachedTable(p.controller), Log: p.log, Now: p.clock.Now,
 	})
 	server, err := admin.NewServer(admin.Options{
 		Process: p.settings.Member, Backend: backend, Operators: p.settings.Operators, Recorder: p.log,
