Restart the waits for slots when versions of the view were skipped

About one in 3,000 random histories let two members use one slot: a process waited for a slot, skipped the view in which another member joined and got that slot from its previous home, and ended its own wait while the other, evicted meanwhile, was still within its validity.

--- a/limits/slots/ledger.go
+++ b/limits/slots/ledger.go
@@ -138,7 +138,7 @@
 	}
 	w.grow(n)
 	l.homes.PutWorker(id, vm.Zone, n)
-	l.rehome(now, w, false)
+	l.rehome(now, w, seen)
 	return w
 }
 
@@ -161,12 +161,31 @@
 	l.view, l.self = view, self
 	l.homes.SetMembers(view.Members)
 	l.settled = now.Add(l.wait(first, joined))
-	lapsed := joined || !consecutive && !continuous
+	m := seen
+	switch {
+	case joined || !consecutive && !continuous:
+		m = lapsed
+	case !consecutive:
+		m = skipped
+	}
 	for _, w := range l.workers {
-		l.rehome(now, w, lapsed)
+		l.rehome(now, w, m)
 	}
 }
 
+// missed is what a process may have missed before it adopts a member view.
+type missed uint8
+
+const (
+	// seen: nothing, each version was adopted.
+	seen missed = iota
+	// skipped: versions in between. A member that joined meanwhile may have
+	// got the slots that this process was waiting for, and no others.
+	skipped
+	// lapsed: its own validity. Any slot may have been used by others.
+	lapsed
+)
+
 // wait returns the time after which a gained slot is certainly unused. A
 // member that joins waits longer, so that a process that has missed both its
 // joining and its eviction stays within its own validity all the while. The
@@ -191,18 +210,20 @@
 	return false
 }
 
-// rehome compares a worker's slots with their homes. When lapsed is set,
-// another process may have used any of them meanwhile.
-func (l *Ledger) rehome(now time.Time, w *Worker, lapsed bool) {
+// rehome compares a worker's slots with their homes.
+func (l *Ledger) rehome(now time.Time, w *Worker, m missed) {
 	mine := l.homes.owned(w.id, l.self.ID)
-	each(w.mine&^mine, func(i int) { l.lose(w, i, lapsed) })
+	each(w.mine&^mine, func(i int) { l.lose(w, i, m) })
 	each(w.borrowed, func(i int) {
-		if home, _ := l.homes.Home(Slot{w.id, i}); lapsed || home != w.slots[i].peer {
+		if home, _ := l.homes.Home(Slot{w.id, i}); m == lapsed || home != w.slots[i].peer {
 			l.drop(w, i)
 		}
 	})
 	gained := mine &^ w.mine
-	if lapsed {
+	switch m {
+	case skipped:
+		gained |= mine & w.waiting
+	case lapsed:
 		gained = mine
 	}
 	w.mine = mine
@@ -211,9 +232,9 @@
 }
 
 // lose stops the use of a slot whose home is now another process.
-func (l *Ledger) lose(w *Worker, index int, lapsed bool) {
+func (l *Ledger) lose(w *Worker, index int, m missed) {
 	bit := uint64(1) << index
-	unused := !lapsed && (w.waiting|w.lent)&bit == 0
+	unused := m != lapsed && (w.waiting|w.lent)&bit == 0
 	w.mine &^= bit
 	l.drop(w, index)
 	switch {
--- a/limits/slots/loans.go
+++ b/limits/slots/loans.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"peridotcrank.dev/fleet"
@@ -16,16 +17,15 @@
 	if !ok || r.View != l.view.Version || r.From == l.self.ID {
 		return reply
 	}
+	workers = slices.DeleteFunc(slices.Clone(workers), func(w *Worker) bool { return w.gone || w.pool != r.Pool })
 	idle := 0
 	for _, w := range workers {
-		if w.pool == r.Pool {
-			idle += bits.OnesCount64(w.Idle())
-		}
+		idle += bits.OnesCount64(w.Idle())
 	}
 	want := min(r.Count, (idle+1)/2)
 	for len(reply.Slots) < want {
 		for _, w := range workers {
-			if w.pool == r.Pool && w.Idle() != 0 && len(reply.Slots) < want {
+			if w.Idle() != 0 && len(reply.Slots) < want {
 				reply.Slots = append(reply.Slots, l.lend(now, w, borrower))
 			}
 		}
--- a/limits/slots/worker.go
+++ b/limits/slots/worker.go
@@ -59,6 +59,9 @@
 // Idle returns the home slots that could be lent.
 func (w *Worker) Idle() uint64 { return w.mine &^ w.waiting &^ w.lent &^ w.busy }
 
+// Lent returns the home slots lent to peers.
+func (w *Worker) Lent() uint64 { return w.lent }
+
 // Borrowed returns the slots borrowed from peers.
 func (w *Worker) Borrowed() uint64 { return w.borrowed }
 
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -62,7 +62,7 @@
 		return nil, nil, shed(q.Pool, stepAdmission, ShedDeadline, p.queue.RetryAfter())
 	}
 	if p.queue.Len() == 0 {
-		if b := p.pick(now, q.Avoid, r.random.Uint64()); b != nil {
+		if b := r.pick(now, p, q.Avoid); b != nil {
 			return r.reserve(now, p, b, q.Service), nil, nil
 		}
 	}
@@ -183,7 +183,7 @@
 			e.Value.refuse(p, ShedDeadline)
 			continue
 		}
-		b := p.pick(now, e.Value.request.Avoid, r.random.Uint64())
+		b := r.pick(now, p, e.Value.request.Avoid)
 		if b == nil {
 			break
 		}
--- a/routing/options.go
+++ b/routing/options.go
@@ -23,6 +23,9 @@
 	// Peers carries requests for slots to other entry processes. Without it
 	// the router neither borrows nor hands over slots early.
 	Peers slots.Peers
+	// Notify receives the router's events. It is called under the router's
+	// lock: it must not wait and must not call the router.
+	Notify func(Event)
 	// Now reads a monotonic clock. Default time.Now.
 	Now func() time.Time
 	// Random breaks ties between backend servers. Default a random seed.
--- a/routing/reservation.go
+++ b/routing/reservation.go
@@ -76,10 +76,7 @@
 	if b.health.ejected(now) || b.vm.Generation != h.target.Generation {
 		return
 	}
-	b.health.observe(now, result, b.vm.Slots)
-	if result != ResultAnswered {
-		p.judge(now, b, h.router.options.Ejection)
-	}
+	h.router.observe(now, p, b, result)
 }
 
 // reserve takes a free slot of a backend server.
--- a/routing/spill.go
+++ b/routing/spill.go
@@ -25,7 +25,6 @@
 	options SpillOptions
 	active  bool
 	calm    time.Time // Since when the local slots would have had room, or zero.
-	changes int       // Number of changes of active.
 }
 
 // update records the load at a choice, and whether a request left the zone for
@@ -51,5 +50,4 @@
 
 func (s *spill) set(active bool) {
 	s.active, s.calm = active, time.Time{}
-	s.changes++
 }
