--- a/limits/admission/queue_test.go
+++ b/limits/admission/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,18 +138,18 @@
 	for _, n := range []int{100, 10_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			q := newQueue(b, Options{MaxQueue: n + 1})
-			customers := make([]fleet.CustomerID, 50)
-			for i := range customers {
-				customers[i] = fleet.CustomerID(fmt.Sprint(i))
+			customers := strings.Split(strings.Repeat("abcdefghij", 5), "")
+			i := 0
+			enter := func() {
+				q.Enter(start, Ticket{Customer: fleet.CustomerID(customers[i%50])}, i)
+				i++
 			}
-			for i := range n {
-				q.Enter(start, Ticket{Customer: customers[i%50]}, i)
+			for range n {
+				enter()
 			}
-			i := 0
 			for b.Loop() {
-				q.Enter(start, Ticket{Customer: customers[i%50]}, i)
+				enter()
 				q.Next()
-				i++
 			}
 		})
 	}
--- a/limits/slots/slot.go
+++ b/limits/slots/slot.go
@@ -50,8 +50,7 @@
 }
 
 // Peers carries requests to other entry processes. Implementations must be
-// safe for concurrent use and must not call back into the caller before they
-// return.
+// safe for concurrent use.
 type Peers interface {
 	// Borrow asks a member to lend slots.
 	Borrow(ctx context.Context, member fleet.MemberID, r BorrowRequest) (BorrowReply, error)
--- a/routing/borrow.go
+++ b/routing/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/bits"
 	"slices"
 	"time"
@@ -185,12 +186,32 @@
 		r.outbox = append(r.outbox, letter{id, slots.ReturnRequest{From: r.self.ID, View: r.ledger.Version(), Slots: s}})
 	}
 	if len(r.outbox) > 0 && !r.sending {
-		r.sending = true
-		go r.deliver()
+		r.sending, r.delivered = true, make(chan struct{})
+		go r.deliver(r.delivered)
 	}
 }
 
-func (r *Router) deliver() {
+// Flush waits until the returns and handovers so far have been sent. A process
+// that has left the member view calls SetView with the view without itself and
+// then Flush, so that its slots are usable at once by their new homes.
+func (r *Router) Flush(ctx context.Context) error {
+	r.mu.Lock()
+	sending, delivered := r.sending, r.delivered
+	r.mu.Unlock()
+	if !sending {
+		return nil
+	}
+	select {
+	case <-delivered:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("routing: send returned slots: %w", ctx.Err())
+	}
+}
+
+// deliver sends what is in the outbox until it is empty.
+func (r *Router) deliver(delivered chan<- struct{}) {
+	defer close(delivered)
 	for {
 		r.mu.Lock()
 		batch := r.outbox
--- a/routing/flow_test.go
+++ b/routing/flow_test.go
@@ -178,9 +178,10 @@
 	})
 }
 
-// Guards against a member that joins waiting the full time although the
-// previous homes are alive, and against slots that are lost for ever.
-func TestJoinHandsOverEarly(t *testing.T) {
+// Guards against a member that joins, or the others when one leaves, waiting
+// the full time although the previous homes are alive, and against slots that
+// are lost for ever after an eviction.
+func TestHandover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := snapshot(9)
 		m, _ := newMesh(s, 2)
@@ -197,12 +198,16 @@
 		for id, r := range m {
 			assert.Equal(t, r.IdleSlots()[testPool], 6, string(id))
 		}
-		for i, other := range view.Members[:2] {
-			m[other.ID].SetView(s, fleet.MemberView{Version: 3, Members: view.Members[:2]}, view.Members[i])
+		for _, other := range view.Members {
+			m[other.ID].SetView(s, fleet.MemberView{Version: 3, Members: view.Members[:2]}, other)
 		}
-		delete(m, "entry-2")
-		time.Sleep(slots.DefaultValidity + slots.DefaultInFlight)
+		assert.NilError(t, m["entry-2"].Flush(t.Context()))
 		assert.Equal(t, m["entry-0"].IdleSlots()[testPool]+m["entry-1"].IdleSlots()[testPool], 18)
+		m["entry-0"].SetView(s, fleet.MemberView{Version: 4, Members: view.Members[:1]}, view.Members[0])
+		time.Sleep(slots.DefaultValidity + slots.DefaultInFlight - 1)
+		assert.Assert(t, m["entry-0"].IdleSlots()[testPool] < 18)
+		time.Sleep(1)
+		assert.Equal(t, m["entry-0"].IdleSlots()[testPool], 18)
 	})
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -28,7 +28,8 @@
 	leaving                map[fleet.VMID]bool // Reports about VMs that are not in the view yet.
 	tallies                map[vmKey]*tally
 	outbox                 []letter
-	sending                bool // The sending goroutine runs.
+	sending                bool          // The sending goroutine runs.
+	delivered              chan struct{} // Closed when it ends.
 	timer                  *time.Timer
 	timerAt                time.Time
 	closed                 bool
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -74,27 +74,22 @@
 // generation, and against InFlight growing after the view says so.
 func TestLeavingVMGetsNothingNew(t *testing.T) {
 	s := snapshot(2)
-	for name, leave := range map[string]func(*Router){
-		"reported": func(r *Router) { r.ReportLeaving([]fleet.VMID{"vm-00"}) },
-		"listed": func(r *Router) {
-			r.SetView(change(s, "vm-00", func(vm *fleet.VM) { vm.Leaving = true }), solo(), self)
-		},
-		"draining": func(r *Router) {
-			r.SetView(change(s, "vm-00", func(vm *fleet.VM) { vm.Phase = fleet.PhaseDraining }), solo(), self)
-		},
-		"moved": func(r *Router) {
-			r.SetView(change(s, "vm-00", func(vm *fleet.VM) { vm.Pool, vm.Generation = "q", 1 }), solo(), self)
-		},
-		"gone": func(r *Router) {
-			r.SetView(&fleet.Snapshot{Revision: 1, VMs: map[fleet.VMID]fleet.VM{"vm-01": s.VMs["vm-01"]}}, solo(), self)
-		},
+	for name, next := range map[string]*fleet.Snapshot{
+		"reported": nil,
+		"listed":   change(s, "vm-00", func(vm *fleet.VM) { vm.Leaving = true }),
+		"draining": change(s, "vm-00", func(vm *fleet.VM) { vm.Phase = fleet.PhaseDraining }),
+		"moved":    change(s, "vm-00", func(vm *fleet.VM) { vm.Pool, vm.Generation = "q", 1 }),
+		"gone":     {Revision: 1, VMs: map[fleet.VMID]fleet.VM{"vm-01": s.VMs["vm-01"]}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRouter(s, Options{})
 			held := acquire(t, r, Request{})
 			assert.Equal(t, held.Target().VM, fleet.VMID("vm-00"), "zone-local first")
 			assert.Assert(t, held.Valid())
-			leave(r)
+			r.SetView(next, solo(), self)
+			if next == nil {
+				r.ReportLeaving([]fleet.VMID{"vm-00"})
+			}
 			assert.Assert(t, !held.Valid())
 			assert.Equal(t, r.InFlight("vm-00", 0), 1)
 			for range 2 {
--- a/routing/view.go
+++ b/routing/view.go
@@ -130,8 +130,9 @@
 
 // ReportLeaving adds VMs whose backend servers are leaving. They get no new
 // request until their row shows that the stay has ended (another phase than
-// serving, or another generation) or ClearLeaving is called. Callers must not
-// repeat a report that was made before the VM's move.
+// serving, or another generation) or ClearLeaving is called. A report about a
+// VM that is not serving is ignored, since it is about the stay that ends.
+// Callers must not repeat a report that was made before the VM's move.
 func (r *Router) ReportLeaving(vms []fleet.VMID) { r.mark(vms, true) }
 
 // ClearLeaving withdraws reports that turned out to be wrong.
