claims: keep another member's claim behind an own abandoned one

The model test, extended by cuts between members and from the store, found a key dispatched twice after 19653 scenarios. A handover had brought a claim to a process that was just claiming the same key in vain. The process marked its own record as contested, then as abandoned, and abandoned records are not part of a recovery. An abandoned record that is contested now goes on as a copy, also when the mark comes with a merged record, and keeps the later expiry of the two.

--- a/claims/claim.go
+++ b/claims/claim.go
@@ -235,7 +235,7 @@
 		r.state = stateGranted
 		return &o
 	case a.effects || a.reclaim || r.contested:
-		r.state = stateAbandoned
+		r.abandon()
 	default:
 		delete(s.table.records, a.key) // Nobody else has heard of the claim.
 	}
--- a/claims/failure_test.go
+++ b/claims/failure_test.go
@@ -170,6 +170,53 @@
 	}
 }
 
+// A claim that arrives in a handover while this process claims the same key in
+// vain must still be known to a later owner.
+func TestHandoverDuringClaim(t *testing.T) {
+	s := newSite(t, 0, "z1", "z2", "z3")
+	key := s.keyOwnedBy(t, "b")
+	encoded, _ := key.encode()
+	s.expect(t, "c", key, VerdictFresh)
+	handover := &peerpb.ClaimHandover{ViewVersion: s.view.Version, Member: "c", Incarnation: 3,
+		Records: []*peerpb.ClaimRecord{{Key: encoded, Member: "c", Incarnation: 3, Sequence: 1}}}
+	s.drop = func(request, reply proto.Message) bool {
+		if _, ok := request.(*peerpb.Claim); ok && reply == nil {
+			_, err := s.services["a"].Receive("c", handover)
+			assert.NilError(t, err)
+		}
+		return false
+	}
+	s.expect(t, "a", key, VerdictSeen)
+	next := membership.Join(s.view, s.view.Members[2])
+	s.services["a"].SetView(next)
+	reply, err := s.services["a"].Receive("b", &peerpb.ClaimRecovery{ViewVersion: next.Version, Member: "b"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(reply.(*peerpb.ClaimRecoveryReply).GetRecords()), 1)
+}
+
+// Whatever a record is merged with, the claim of another member must not be
+// hidden by an own or abandoned claim, nor expire early.
+func TestMergeKeepsOtherClaims(t *testing.T) {
+	const created, later = time.Second, 10 * time.Second
+	own, other := holder{identity{"a", 1}, 1}, holder{identity{"b", 1}, 1}
+	for _, state := range []state{stateCopy, stateClaiming, stateGranted, stateAbandoned} {
+		for name, incoming := range map[string]record{
+			"other holder": {holder: other, createdAt: later}, "contested": {holder: own, createdAt: later, contested: true},
+		} {
+			table := newTable(DefaultWindow, 10)
+			table.put("k", record{holder: own, createdAt: created, state: state})
+			assert.Check(t, table.merge("k", incoming))
+			if r := table.records["k"]; r.own() {
+				r.abandon()
+			}
+			r := table.records["k"]
+			assert.Check(t, r.state == stateCopy && (r.contested || r.holder == other), "%s on %d", name, state)
+			table.sweep(later + DefaultWindow)
+			assert.Check(t, table.records["k"] != nil || name == "contested", "%s on %d", name, state)
+		}
+	}
+}
+
 // A full table refuses new keys, never forgets old ones, and recovers with time.
 func TestTableIsBounded(t *testing.T) {
 	s := newSite(t, 10, "z1", "z2", "z3")
--- a/claims/handover.go
+++ b/claims/handover.go
@@ -15,6 +15,10 @@
 // leaving the view: from its start, this process takes part in no new claim, and
 // claims of the keys that it owns wait for the next view.
 //
+// After leaving, keep serving messages until all members hold the new view, or for
+// ValidFor: a member that still asks this process is told to wait for its view,
+// while a closed connection would make the claim unknown.
+//
 // There is no way back: the receivers rely on the process granting nothing more
 // in this view. After an error, leaving is still safe; the remaining members then
 // treat the process like one that died.
--- a/claims/model_test.go
+++ b/claims/model_test.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
@@ -31,7 +32,7 @@
 // kinds are drawn with equal weight; submissions are far more frequent than faults.
 var kinds = []string{
 	"submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit", "submit",
-	"not run", "slow", "kill", "freeze", "isolate", "join", "stop",
+	"not run", "slow", "kill", "freeze", "isolate", "no store", "cut", "join", "stop",
 }
 
 func drawAction(t *rapid.T) action {
@@ -88,7 +89,8 @@
 // inVirtualTime starts the members, waits until they have recovered and runs body.
 func (m *simulation) inVirtualTime(t *testing.T, members int, body func()) {
 	synctest.Test(t, func(*testing.T) {
-		m.start, m.stopped = time.Now(), make(chan struct{})
+		m.start = time.Now()
+		m.ended, m.end = context.WithCancel(context.Background())
 		defer m.finish()
 		for range members {
 			m.join()
@@ -117,7 +119,12 @@
 	case "freeze":
 		task = func() { p.freeze(a.Duration) }
 	case "isolate":
-		task = func() { p.isolate(a.Duration) }
+		task = func() { p.during(a.Duration, func(on bool) { p.isolated = on }) }
+	case "no store":
+		task = func() { p.during(a.Duration, func(on bool) { p.noStore = on }) }
+	case "cut":
+		other := m.process(a.Member + a.Key)
+		task = func() { p.during(a.Duration, func(on bool) { p.cutFrom = map[bool]*process{true: other}[on] }) }
 	case "kill":
 		task = p.kill
 	case "stop":
--- a/claims/release.go
+++ b/claims/release.go
@@ -22,7 +22,7 @@
 	}
 	// The record stays as abandoned, so that a resubmission through this process
 	// is granted although the release may be lost.
-	r.state = stateAbandoned
+	r.abandon()
 	s.sendRelease(ctx, encoded, r.hash, r.holder, nil)
 }
 
--- a/claims/simulation_test.go
+++ b/claims/simulation_test.go
@@ -38,7 +38,8 @@
 	row        fleet.MemberView
 	processes  []*process
 	tasks      sync.WaitGroup
-	stopped    chan struct{}
+	ended      context.Context
+	end        context.CancelFunc
 	intercept  func(proto.Message) proto.Message // Plants a fault: answers instead of the receiver.
 	unchecked  bool                              // Plants a fault: Dispatchable is not asked.
 	forgetful  bool                              // Plants a fault: departures are not counted.
@@ -63,9 +64,12 @@
 	requests    sync.WaitGroup
 	confirmedAt time.Duration
 	version     uint64
+	size        int // Members in the adopted view.
 	silentSince time.Duration
 	frozen      chan struct{} // Closed when the process continues; nil when it runs.
-	isolated    bool
+	isolated    bool          // Cut off from the store and all members.
+	noStore     bool          // Cut off from the store only.
+	cutFrom     *process
 	dead        bool
 	leaving     bool
 }
@@ -99,14 +103,7 @@
 	return m.upTo(m.delay)
 }
 
-func (m *simulation) running() bool {
-	select {
-	case <-m.stopped:
-		return false
-	default:
-		return true
-	}
-}
+func (m *simulation) running() bool { return m.ended.Err() == nil }
 
 // join adds a process to the row and starts it.
 func (m *simulation) join() {
@@ -159,7 +156,10 @@
 func (p *process) poll() {
 	for p.running() && p.pause() {
 		p.mu.Lock()
-		started, row, isolated := p.now(), p.row, p.isolated
+		started, row, isolated := p.now(), p.row, p.isolated || p.noStore
+		if p.noStore && !p.isolated && p.confirmedByPeers() {
+			p.confirmedAt = started
+		}
 		if !isolated && !p.leaving && !slices.ContainsFunc(row.Members, func(m fleet.Member) bool { return m.ID == p.member.ID }) {
 			p.row = membership.Join(p.row, p.member)
 			row = p.row
@@ -173,12 +173,24 @@
 			p.service.SetView(row)
 			p.mu.Lock()
 			p.confirmedAt, p.version = max(p.confirmedAt, started, 1), max(p.version, row.Version)
+			p.size = len(row.Members)
 			p.mu.Unlock()
 		}
 		time.Sleep(100*time.Millisecond + p.upTo(100*time.Millisecond))
 	}
 }
 
+// confirmedByPeers reports whether a majority of the process's view holds it.
+func (p *process) confirmedByPeers() bool {
+	holders := 0
+	for _, other := range p.processes {
+		if !other.dead && !other.isolated && other.frozen == nil && other.version == p.version {
+			holders++
+		}
+	}
+	return p.version > 0 && holders > p.size/2
+}
+
 // evict removes one silent member once the current view is settled.
 func (m *simulation) evict() {
 	m.mu.Lock()
@@ -211,22 +223,23 @@
 
 func (p *process) freeze(d time.Duration) {
 	resume := make(chan struct{})
-	p.set(func() { p.frozen = resume })
-	select {
-	case <-time.After(d):
-	case <-p.stopped:
-	}
-	p.set(func() { p.frozen = nil })
+	p.during(d, func(on bool) {
+		p.frozen = nil
+		if on {
+			p.frozen = resume
+		}
+	})
 	close(resume)
 }
 
-func (p *process) isolate(d time.Duration) {
-	p.set(func() { p.isolated = true })
+// during applies a fault for some time.
+func (p *process) during(d time.Duration, set func(on bool)) {
+	p.set(func() { set(true) })
 	select {
 	case <-time.After(d):
-	case <-p.stopped:
+	case <-p.ended.Done():
 	}
-	p.set(func() { p.isolated = false })
+	p.set(func() { set(false) })
 }
 
 func (p *process) kill() {
@@ -248,13 +261,14 @@
 		}
 	}
 	p.mu.Unlock()
+	time.Sleep(DefaultValidFor) // Members that still hold the old view get an answer.
 	p.kill()
 }
 
 func (p *process) reachable(other *process) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.isolated && !other.isolated && !p.dead && !other.dead
+	return !p.isolated && !other.isolated && !p.dead && !other.dead && p.cutFrom != other && other.cutFrom != p
 }
 
 func (p *process) peerOf(id fleet.MemberID) *process {
@@ -373,7 +387,7 @@
 
 // finish ends all processes; the bubble of virtual time requires it.
 func (m *simulation) finish() {
-	close(m.stopped)
+	m.end()
 	for _, p := range m.processes {
 		p.kill()
 	}
--- a/claims/table.go
+++ b/claims/table.go
@@ -39,6 +39,16 @@
 
 func (r *record) own() bool { return r.state != stateCopy }
 
+// abandon gives up an own claim. When another member's claim of the key became
+// known meanwhile, the record goes on to stand for that one.
+func (r *record) abandon() {
+	if r.contested {
+		r.state = stateCopy
+		return
+	}
+	r.state = stateAbandoned
+}
+
 // table holds the records of this process. Its owner serialises access.
 type table struct {
 	records  map[string]*record
@@ -117,8 +127,11 @@
 	case existing.state == stateAbandoned:
 		t.put(key, incoming)
 	default:
-		// A key claimed by two holders is never granted or released again.
-		existing.contested = true
+		// A key claimed by two holders is never granted or released again, until the
+		// window of the later claim has passed.
+		contested := *existing
+		contested.contested, contested.createdAt = true, max(existing.createdAt, incoming.createdAt)
+		t.put(key, contested)
 	}
 	return true
 }
@@ -127,6 +140,9 @@
 // claims is never older than what others know.
 func (t *table) mergeSameHolder(key string, existing *record, incoming record) {
 	if existing.own() {
+		if existing.contested = existing.contested || incoming.contested; existing.state == stateAbandoned {
+			existing.abandon() // The contested record stands for another member's claim, too.
+		}
 		return
 	}
 	contested := existing.contested || incoming.contested
