claims, peer: end simulations after their last message; test notifications

One of about 5000 scenarios ended with a panic of synctest: virtual time stops when the test function returns, and a recovery had just sent a message.

--- a/claims/simulation_test.go
+++ b/claims/simulation_test.go
@@ -385,11 +385,13 @@
 	m.dispatches[key] = append(m.dispatches[key], d)
 }
 
-// finish ends all processes; the bubble of virtual time requires it.
+// finish ends all processes. Virtual time stops when the test returns, so that
+// messages which recoveries sent to the last must have arrived before.
 func (m *simulation) finish() {
 	m.end()
 	for _, p := range m.processes {
 		p.kill()
 	}
 	m.tasks.Wait()
+	time.Sleep(5 * time.Second)
 }
--- a/peer/session_test.go
+++ b/peer/session_test.go
@@ -199,3 +199,20 @@
 	waitUntil(t, testContext(t), func() bool { return b.Stats().SessionsRefused > refused })
 	assert.Check(t, !plain.Connected("b"))
 }
+
+// Notifications of one peer and class must be handled in the order of sending.
+func TestNotificationsKeepOrder(t *testing.T) {
+	const total = 100
+	a, b := pair(t, nil)
+	revisions := make(chan uint64, total)
+	Handle(b, func(_ context.Context, _ Sender, m *peerpb.RowsPush) (proto.Message, error) {
+		revisions <- m.GetRevision()
+		return nil, nil
+	})
+	for i := range uint64(total) {
+		assert.NilError(t, a.Notify(testContext(t), "b", ClassControl, &peerpb.RowsPush{Revision: i}))
+	}
+	for i := range uint64(total) {
+		assert.Equal(t, <-revisions, i)
+	}
+}
