claims: refuse claims of processes outside the view

A process that adopted the view without itself could still be granted a claim, rejoin and dispatch, while a recovery in between had not asked it. Found by reading; the model test had not hit it. Queues and buffers of peer streams are smaller, since every pair of members has four streams.

--- a/claims/claim.go
+++ b/claims/claim.go
@@ -110,7 +110,7 @@
 		a.effects = a.effects || (v != nil && v != current) // A recovery may have reported the claim.
 		v = current
 		o := again(StepView, "", ErrNoView)
-		if v != nil && len(v.byID) > 0 {
+		if v != nil && v.holds(a.holder.identity) {
 			o = s.ask(ctx, a, v)
 		}
 		if !o.retry {
--- a/claims/failure_test.go
+++ b/claims/failure_test.go
@@ -148,6 +148,10 @@
 	next := membership.Join(s.view, s.view.Members[2])
 	s.services["a"].SetView(next)
 	s.expect(t, "a", key, VerdictUnknown)
+	encoded, _ := key.encode()
+	reply, err := s.services["b"].Receive("x", &peerpb.Claim{ViewVersion: s.view.Version, Key: encoded, Member: "x"})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.(*peerpb.ClaimReply).GetVerdict(), peerpb.ClaimReply_VERDICT_WRONG_VIEW, "x is no member")
 	decided := make(chan struct{})
 	go func() {
 		defer close(decided)
--- a/claims/receive.go
+++ b/claims/receive.go
@@ -52,26 +52,28 @@
 	return reply
 }
 
-// differs reports whether a message of the given view must wait: the views
-// differ, or this process is about to leave its view.
-func (s *Service) differs(version uint64) bool {
-	return s.view == nil || s.view.version != version || !s.view.holds(s.self) || s.leaving
+// differs reports whether a claim of the given view must wait: the views differ,
+// one of the two processes is not in the view, or this one is about to leave it.
+// A claim of a process outside the view would be left out of recoveries.
+func (s *Service) differs(version uint64, claimant identity) bool {
+	return s.view == nil || s.view.version != version || s.leaving ||
+		!s.view.holds(s.self) || !s.view.holds(claimant)
 }
 
 func (s *Service) receiveClaim(m *peerpb.Claim) *peerpb.ClaimReply {
 	now := s.lock()
 	defer s.mu.Unlock()
 	hash := hashKey(m.GetKey())
-	if s.differs(m.GetViewVersion()) || s.view.ranking.owner(hash) != s.self.id {
+	claim := record{
+		holder: holder{identity{fleet.MemberID(m.GetMember()), m.GetIncarnation()}, m.GetSequence()},
+		hash:   hash, createdAt: now,
+	}
+	if s.differs(m.GetViewVersion(), claim.identity) || s.view.ranking.owner(hash) != s.self.id {
 		return s.answer(peerpb.ClaimReply_VERDICT_WRONG_VIEW)
 	}
 	if !s.config.Valid() || len(m.GetKey()) > MaxKeyLength {
 		return s.answer(peerpb.ClaimReply_VERDICT_UNKNOWN)
 	}
-	claim := record{
-		holder: holder{identity{fleet.MemberID(m.GetMember()), m.GetIncarnation()}, m.GetSequence()},
-		hash:   hash, createdAt: now,
-	}
 	existing := s.table.records[m.GetKey()]
 	switch {
 	case existing != nil && !replaceable(existing, claim.holder, m.GetReclaim()):
@@ -103,10 +105,10 @@
 func (s *Service) receiveCopy(m *peerpb.ClaimBackup) *peerpb.ClaimReply {
 	now := s.lock()
 	defer s.mu.Unlock()
-	if s.differs(m.GetViewVersion()) {
+	key, incoming := fromWire(m.GetRecord(), now)
+	if s.differs(m.GetViewVersion(), incoming.identity) {
 		return s.answer(peerpb.ClaimReply_VERDICT_WRONG_VIEW)
 	}
-	key, incoming := fromWire(m.GetRecord(), now)
 	existing := s.table.records[key]
 	switch {
 	case len(key) > MaxKeyLength:
--- a/peer/config.go
+++ b/peer/config.go
@@ -15,8 +15,9 @@
 	// DefaultMaxFrame bounds one message. The largest ones are pages of claim
 	// records and the configuration document.
 	DefaultMaxFrame = 1 << 20 // bytes
-	// DefaultQueueLength bounds the messages waiting for one peer and class.
-	DefaultQueueLength = 4096
+	// DefaultQueueLength bounds the messages waiting for one peer and class. It
+	// equals the requests that the peer runs at once.
+	DefaultQueueLength = 1024
 	// DefaultMaxInFlight bounds the requests of one peer and class that run at once.
 	DefaultMaxInFlight = 1024
 	// DefaultHelloTimeout bounds dialling, the TLS handshake and Hello, each.
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -12,7 +12,7 @@
 )
 
 // bufferSize lets a burst of small frames share one yamux frame.
-const bufferSize = 32 << 10 // bytes
+const bufferSize = 16 << 10 // bytes
 
 // frameReader reads envelopes from a stream.
 type frameReader struct {
