--- a/control/controller.go
+++ b/control/controller.go
@@ -51,6 +51,8 @@
 	// fleetDirty says that what the traffic side routes by has changed, too.
 	fleetDirty bool
 	published  *fleet.Snapshot
+	edition    uint64               // Number of the published snapshot.
+	marked     map[fleet.VMID]bool  // VMs that the published snapshot shows as leaving.
 	rollOut    *configurationSpread // Roll-out that this process measures, or nil.
 	// afterPublish is called after the next publication.
 	afterPublish []func()
@@ -186,36 +188,6 @@
 	c.state.Store(next)
 }
 
-// snapshot joins the VM rows with what the VM list and peers say about leaving VMs.
-func (c *Controller) snapshot() *fleet.Snapshot {
-	s := c.rows.fleet
-	leaving := c.leavingVMs()
-	if len(leaving) == 0 {
-		return &s
-	}
-	vms := make(map[fleet.VMID]fleet.VM, len(s.VMs))
-	for id, vm := range s.VMs {
-		vm.Leaving = leaving[id]
-		vms[id] = vm
-	}
-	s.VMs = vms
-	return &s
-}
-
-// leavingVMs returns the VMs that the VM list or a peer names as leaving.
-func (c *Controller) leavingVMs() map[fleet.VMID]bool {
-	all := make(map[fleet.VMID]bool, len(c.leaving))
-	for id := range c.leaving {
-		all[id] = true
-	}
-	for _, peer := range c.peers {
-		for _, id := range peer.Leaving {
-			all[id] = true
-		}
-	}
-	return all
-}
-
 func (c *Controller) copyPeers() map[fleet.MemberID]PeerState {
 	peers := make(map[fleet.MemberID]PeerState, len(c.peers))
 	for id, p := range c.peers {
--- a/control/rows.go
+++ b/control/rows.go
@@ -15,6 +15,8 @@
 type rows struct {
 	revision store.Version
 	raw      map[string]store.Row
+	// changed holds the VMs whose rows have changed since the owner last cleared it.
+	changed map[fleet.VMID]bool
 
 	fleet          fleet.Snapshot
 	members        fleet.MemberView
@@ -25,7 +27,7 @@
 
 func newRows() *rows {
 	return &rows{
-		raw: make(map[string]store.Row),
+		raw: make(map[string]store.Row), changed: make(map[fleet.VMID]bool),
 		fleet: fleet.Snapshot{
 			VMs:     make(map[fleet.VMID]fleet.VM),
 			Pools:   make(map[fleet.PoolID]fleet.Pool),
@@ -67,6 +69,9 @@
 func (r *rows) decode(prefix string, list []store.Row) []error {
 	switch prefix {
 	case fleet.PrefixVM:
+		for _, row := range list {
+			r.changed[fleet.VMID(strings.TrimPrefix(row.Key, prefix))] = true
+		}
 		return decodeInto(&r.fleet.VMs, prefix, list, func(v *fleet.VM, n uint64) { v.Version = n })
 	case fleet.PrefixPool:
 		return decodeInto(&r.fleet.Pools, prefix, list, func(v *fleet.Pool, n uint64) { v.Version = n })
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -100,4 +100,16 @@
 	Pools    map[PoolID]Pool
 	Plans    map[PlanID]Plan
 	Intents  map[IntentID]Intent
+	// Delta names the VMs that differ from an earlier snapshot of this process.
+	// Nil when that is not known.
+	Delta *Delta
+}
+
+// Delta is the difference between two snapshots that a process publishes one
+// after the other. A holder of the former one need not look at other VMs.
+type Delta struct {
+	// From and To number the snapshots, from 1. They differ from revisions,
+	// since the VM list changes a snapshot as well.
+	From, To uint64
+	VMs      []VMID
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -20,6 +20,7 @@
 	// called and what it reported.
 	lastValid, lastInvalid time.Time
 	revision               uint64
+	edition                uint64 // Number of the present snapshot by Delta.To; 0 when it has none.
 	self                   fleet.Member
 	members                []fleet.Member
 	ledger                 *slots.Ledger
@@ -27,6 +28,7 @@
 	pools                  map[fleet.PoolID]*pool
 	leaving                map[fleet.VMID]bool // Reports about VMs that are not in the view yet.
 	tallies                map[vmKey]*tally
+	retired                []vmKey // Tallies of stays that have ended.
 	outbox                 []letter
 	sending                bool // The sending goroutine runs.
 	timer                  *time.Timer
--- a/routing/scale_bench_test.go
+++ b/routing/scale_bench_test.go
@@ -41,6 +41,7 @@
 		for b.Loop() {
 			snapshot := *next[i%2]
 			snapshot.Revision = uint64(i + 2)
+			snapshot.Delta = &fleet.Delta{From: uint64(i), To: uint64(i + 1), VMs: []fleet.VMID{"vm-0007"}}
 			r.SetView(&snapshot, view, view.Members[0])
 			i++
 		}
--- a/routing/view.go
+++ b/routing/view.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"peridotcrank.dev/fleet"
@@ -50,33 +51,69 @@
 	}
 }
 
-// setFleet applies the differences between the present view and a snapshot.
+// setFleet applies the differences between the present view and a snapshot. It
+// compares all VMs unless the snapshot names those that differ.
 func (r *Router) setFleet(now time.Time, s *fleet.Snapshot) {
-	for id, b := range r.backends {
-		if _, ok := s.VMs[id]; !ok {
-			r.place(b, b.vm, false)
-			r.ledger.RemoveWorker(id)
-			delete(r.backends, id)
+	if d := s.Delta; d != nil && d.From == r.edition && r.edition > 0 {
+		r.edition = d.To
+		for _, id := range d.VMs {
+			r.setVM(now, s, id)
 		}
-	}
-	for id, vm := range s.VMs {
-		b := r.backends[id]
-		if b != nil && b.vm == vm {
-			continue
+	} else {
+		r.edition = 0
+		if d != nil {
+			r.edition = d.To
 		}
-		if b == nil {
-			b = &backend{leaving: r.leaving[id]}
-			delete(r.leaving, id)
-			r.backends[id] = b
+		r.setAll(now, s)
+	}
+	r.forgetTallies()
+}
+
+func (r *Router) setAll(now time.Time, s *fleet.Snapshot) {
+	for id := range r.backends {
+		if _, ok := s.VMs[id]; !ok {
+			r.setVM(now, s, id)
 		}
-		b.worker = r.ledger.PutWorker(now, vm)
-		r.place(b, vm, true)
 	}
-	for key, t := range r.tallies {
-		if b := r.backends[key.vm]; t.inFlight == 0 && (b == nil || b.tally != t) {
+	for id := range s.VMs {
+		r.setVM(now, s, id)
+	}
+}
+
+// setVM takes over one VM from a snapshot, or removes it.
+func (r *Router) setVM(now time.Time, s *fleet.Snapshot, id fleet.VMID) {
+	vm, ok := s.VMs[id]
+	b := r.backends[id]
+	switch {
+	case !ok && b == nil, ok && b != nil && b.vm == vm:
+		return
+	case !ok:
+		r.place(b, b.vm, false)
+		r.ledger.RemoveWorker(id)
+		delete(r.backends, id)
+		r.retired = append(r.retired, vmKey{b.vm.ID, b.vm.Generation})
+		return
+	case b == nil:
+		b = &backend{leaving: r.leaving[id]}
+		delete(r.leaving, id)
+		r.backends[id] = b
+	}
+	b.worker = r.ledger.PutWorker(now, vm)
+	r.place(b, vm, true)
+}
+
+// forgetTallies drops the tallies of ended stays that no request holds any more.
+func (r *Router) forgetTallies() {
+	r.retired = slices.DeleteFunc(r.retired, func(key vmKey) bool {
+		t, b := r.tallies[key], r.backends[key.vm]
+		if t == nil || b != nil && b.tally == t {
+			return true
+		}
+		if t.inFlight == 0 {
 			delete(r.tallies, key)
 		}
-	}
+		return t.inFlight == 0
+	})
 }
 
 // place records a VM's row and moves its backend server between pools.
@@ -90,6 +127,9 @@
 		// The report was about the stay that the row now shows as ended.
 		b.leaving = false
 	}
+	if old.ID != "" && old.Generation != vm.Generation {
+		r.retired = append(r.retired, vmKey{old.ID, old.Generation})
+	}
 	b.vm, b.present = vm, present
 	b.tally = r.tallyOf(vmKey{vm.ID, vm.Generation})
 	r.enlist(b, old.Pool, routed)
