Fit lines to the scale benchmarks with testbed fit

make bench runs all scale benchmarks and writes docs/bench/capacity.md and a plot: for each mechanism and unit the intercept, the slope, the error of the line, the exponent of the growth and the values at today's size and that of two years from now. It fails when the whole control step grows faster than about linearly. make capacity does the same for live runs. Points weigh by the inverse of their square: with equal weights, the line at 49 workers was decided by the noise at 4,100.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := $(shell sed -n 's|^\t\./||p' go.work)
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
-.PHONY: build check fmt test proto demo bench matrix
+.PHONY: build check fmt test proto demo bench capacity matrix
 
 build:
 	$(GO) build -o $(BIN)/ ./peridotcrank ./testbed
@@ -24,5 +24,21 @@
 test:
 	$(GO) test -race -count=1 work
 
+# Modules with scale benchmarks, and the output of the last run.
+SCALE := ./routing ./limits/slots ./control ./control/plans ./claims ./eventlog ./fleet/planner ./testbed/platform
+BENCH := docs/bench/scale.txt
+
+# Runs the scale benchmarks, one package at a time, and regenerates the page and the plot. Under 5 minutes.
+bench: build
+	@mkdir -p docs/bench
+	$(GO) test -p 1 -run '^$$' -bench '^BenchmarkScale' -benchtime 200ms $(SCALE) >$(BENCH) || { cat $(BENCH); exit 1; }
+	$(BIN)/testbed fit --output docs/bench/capacity.md --plot docs/bench/capacity.svg --near-linear ControlStep $(BENCH)
+
+# Measures entry processes at four sizes with 3 and 9 members, one after the other; about 7 minutes.
+capacity: build
+	@mkdir -p docs/bench
+	for members in 3 9; do for workers in 49 500 1500 4100; do ./scripts/capacity.sh $$workers $$members || exit 1; done; done >docs/bench/live.txt
+	$(BIN)/testbed fit --title "Live measurements" --command "make capacity" --output docs/bench/live.md docs/bench/live.txt
+
 proto:
 	cd tools && $(GO) run ./protogen ../peer/peerpb peer.proto
--- a/limits/slots/homes_test.go
+++ b/limits/slots/homes_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/fleet/fleettest"
 )
 
 // site returns a site of three availability zones with 8 slots per worker.
@@ -98,11 +99,14 @@
 	})
 }
 
-func BenchmarkHomesJoinAndLeaveAt4100Workers(b *testing.B) {
-	vms, members := site(4100, 27)
-	h := assign(vms, members)
-	for b.Loop() {
-		h.SetMembers(members[1:])
-		h.SetMembers(members)
-	}
+// BenchmarkScaleHomesMember is a member that leaves and joins at 4,100 workers.
+func BenchmarkScaleHomesMember(b *testing.B) {
+	fleettest.Bench(b, "members", fleettest.ScaleMembers, func(b *testing.B, n int) {
+		vms, members := site(4100, n)
+		h := assign(vms, members)
+		for b.Loop() {
+			h.SetMembers(members[1:])
+			h.SetMembers(members)
+		}
+	})
 }
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -53,7 +53,7 @@
     END {
       seconds=to["time"]-from["time"]
       b="peridotcrank_control_bytes_total"
-      printf "Benchmark%s/members=%d/services=%d/workers=%d 1", name, members, services, workers
+      printf "Benchmark%s/members=%d/workers=%d 1 %d services", name, members, workers, services
       printf " %.3f cpu-%%", 100*rate("process_cpu_seconds_total")
       printf " %.1f rss-MB", to["process_resident_memory_bytes"]/members/1e6
       printf " %.1f rss-max-MB", max["process_resident_memory_bytes"]/1e6
--- a/testbed/main.go
+++ b/testbed/main.go
@@ -24,6 +24,7 @@
 	add("backend", "Run the backend servers of a site's VMs", &backendCommand{})
 	add("load", "Send a site's load to entry processes", &loadCommand{})
 	add("verify", "Compare what callers saw with what backend servers ran", &verifyCommand{})
+	add("fit", "Fit lines to the output of the scale benchmarks", &fitCommand{})
 	if _, err := parser.Parse(); err != nil {
 		var flagsError *flags.Error
 		if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
