--- a/testbed/fit/fit_test.go
+++ b/testbed/fit/fit_test.go
@@ -40,6 +40,13 @@
 	assert.Assert(t, wrong.residual(s.Points) > 0.3)
 }
 
+// Guards against weights that add up to one, by which the library divides by zero.
+func TestFitOfConstant(t *testing.T) {
+	line, err := Fit([]Point{{49, 2}, {500, 2}, {1500, 2}, {4100, 2}})
+	assert.NilError(t, err)
+	assert.Assert(t, line.Slope == 0 && line.Intercept == 2 && line.Exponent == 0, "%+v", line)
+}
+
 // Guards against growth that is worse than linear and passes the check.
 func TestNearLinear(t *testing.T) {
 	linear := readOne(t, output(func(x float64) float64 { return 1000 + 50*x }))
--- a/testbed/fit/line.go
+++ b/testbed/fit/line.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 
+	"gonum.org/v1/gonum/floats"
 	"gonum.org/v1/gonum/stat"
 )
 
@@ -44,6 +45,8 @@
 	if len(sizes) < 3 {
 		return Line{}, ErrTooFew
 	}
+	// stat divides by the sum of the weights less one, which must not be zero.
+	floats.Scale(float64(len(weights))/floats.Sum(weights), weights)
 	var l Line
 	l.Intercept, l.Slope = stat.LinearRegression(xs, ys, weights, false)
 	if len(logX) > 1 {
--- a/testbed/platform/compress.go
+++ b/testbed/platform/compress.go
@@ -5,8 +5,12 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 )
 
+// writers keeps the tables of compressors, of about 1 MB each.
+var writers = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
+
 // compressed compresses the replies to clients that accept it. Rows and the VM
 // list are repetitive JSON.
 func compressed(next http.HandlerFunc) http.HandlerFunc {
@@ -19,6 +23,7 @@
 		next(z, r)
 		if z.writer != nil {
 			_ = z.writer.Close() // A failure means that the connection is gone.
+			writers.Put(z.writer)
 		}
 	}
 }
@@ -35,7 +40,8 @@
 	c.started = true
 	if status == http.StatusOK {
 		c.Header().Set("Content-Encoding", "gzip")
-		c.writer = gzip.NewWriter(c.ResponseWriter)
+		c.writer = writers.Get().(*gzip.Writer)
+		c.writer.Reset(c.ResponseWriter)
 	}
 	c.ResponseWriter.WriteHeader(status)
 }
