--- a/control/controller.go
+++ b/control/controller.go
@@ -31,24 +31,30 @@
 	validUntil atomic.Int64 // Nanoseconds on Options.Now; 0 before the first confirmation.
 
 	// The fields below are owned by the control goroutine.
-	self      fleet.Member
-	rows      *rows
-	tracker   *membership.Tracker
-	config    *fleet.Configuration
-	peers     map[fleet.MemberID]PeerState
-	leaving   map[fleet.VMID]bool // By the platform's VM list.
-	reachable bool
-	readAt    time.Duration
-	joined    bool
-	leavingUs bool // This process has been told to leave.
-	writing   bool // A write of the members row is in progress.
-	fetching  bool // A read of rows from a peer is in progress.
-	valid     bool
-	alarms    alarms
-	dirty     bool // The state has changed since its publication.
+	self    fleet.Member
+	rows    *rows
+	tracker *membership.Tracker
+	config  *fleet.Configuration
+	peers   map[fleet.MemberID]PeerState
+	leaving map[fleet.VMID]bool // By the platform's VM list.
+	report  report
+	// conversations holds the state of the heartbeats with each peer.
+	conversations map[fleet.MemberID]conversation
+	reachable     bool
+	readAt        time.Duration
+	joined        bool
+	leavingUs     bool          // This process has been told to leave.
+	writing       bool          // A write of the members row is in progress or not read back yet.
+	written       time.Duration // End of that write, or 0.
+	fetching      bool          // A read of rows from a peer is in progress.
+	valid         bool
+	alarms        alarms
+	dirty         bool // The state has changed since its publication.
 	// fleetDirty says that what the traffic side routes by has changed, too.
 	fleetDirty bool
 	published  *fleet.Snapshot
+	edition    uint64               // Number of the published snapshot.
+	marked     map[fleet.VMID]bool  // VMs that the published snapshot shows as leaving.
 	rollOut    *configurationSpread // Roll-out that this process measures, or nil.
 	// afterPublish is called after the next publication.
 	afterPublish []func()
@@ -67,7 +73,7 @@
 	c := &Controller{
 		options: o, events: make(chan event, eventQueue), wakeup: make(chan struct{}, 1), work: &tasks{},
 		self: o.Self, rows: newRows(), tracker: tracker,
-		config: &fleet.Configuration{}, peers: make(map[fleet.MemberID]PeerState), leaving: make(map[fleet.VMID]bool),
+		config: &fleet.Configuration{}, peers: make(map[fleet.MemberID]PeerState), conversations: make(map[fleet.MemberID]conversation), leaving: make(map[fleet.VMID]bool),
 	}
 	c.publish()
 	return c, nil
@@ -184,36 +190,6 @@
 	c.state.Store(next)
 }
 
-// snapshot joins the VM rows with what the VM list and peers say about leaving VMs.
-func (c *Controller) snapshot() *fleet.Snapshot {
-	s := c.rows.fleet
-	leaving := c.leavingVMs()
-	if len(leaving) == 0 {
-		return &s
-	}
-	vms := make(map[fleet.VMID]fleet.VM, len(s.VMs))
-	for id, vm := range s.VMs {
-		vm.Leaving = leaving[id]
-		vms[id] = vm
-	}
-	s.VMs = vms
-	return &s
-}
-
-// leavingVMs returns the VMs that the VM list or a peer names as leaving.
-func (c *Controller) leavingVMs() map[fleet.VMID]bool {
-	all := make(map[fleet.VMID]bool, len(c.leaving))
-	for id := range c.leaving {
-		all[id] = true
-	}
-	for _, peer := range c.peers {
-		for _, id := range peer.Leaving {
-			all[id] = true
-		}
-	}
-	return all
-}
-
 func (c *Controller) copyPeers() map[fleet.MemberID]PeerState {
 	peers := make(map[fleet.MemberID]PeerState, len(c.peers))
 	for id, p := range c.peers {
@@ -258,6 +234,7 @@
 		// A new incarnation has confirmed nothing yet, even under the same ID.
 		if incarnationIn(view, id) != incarnationIn(before, id) {
 			delete(c.peers, id)
+			delete(c.conversations, id)
 		}
 	}
 	c.options.Peers.SetMembers(view)
--- a/control/members.go
+++ b/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/fleet"
@@ -14,11 +15,20 @@
 	err error
 }
 
+// apply keeps further writes back until a read that began after this one: the
+// same conditional write on the old row would only be rejected.
 func (e membersWritten) apply(c *Controller) {
-	c.writing = false
+	c.written = c.options.Now()
 	c.Refresh()
 }
 
+// allowWrites ends a write of the members row once its effect has been read.
+func (c *Controller) allowWrites(readStarted time.Duration) {
+	if c.written > 0 && readStarted >= c.written {
+		c.writing, c.written = false, 0
+	}
+}
+
 // joinOnce makes the process want to join after the first read.
 func (c *Controller) joinOnce() { c.joined = true }
 
@@ -94,9 +104,13 @@
 			Writes:     []store.Write{write},
 			Priority:   store.PrioritySafety,
 		})
-		if err != nil || result.Applied() {
+		if err != nil {
 			return err
 		}
+		if result.Applied() {
+			c.Refresh()
+			return nil
+		}
 		if err := c.awaitMembers(ctx, state.MembersVersion); err != nil {
 			return err
 		}
--- a/control/poll.go
+++ b/control/poll.go
@@ -27,6 +27,7 @@
 	c.applyRows(e.snapshot.Revision, e.snapshot.Rows)
 	c.tracker.ReadStore(c.options.Now(), membership.StoreRead{Started: e.started, View: c.rows.members})
 	c.joinOnce()
+	c.allowWrites(e.started)
 }
 
 func (c *Controller) setReachable(reachable bool, err error) {
@@ -102,7 +103,7 @@
 	ticker := time.NewTicker(c.options.Poll)
 	defer ticker.Stop()
 	for {
-		if list, err := c.options.Platform.VMs(ctx); err == nil {
+		if list, err := c.options.Platform.VMs(ctx); err == nil && !list.Unchanged {
 			c.send(ctx, vmsListed{leaving: leavingOf(list)})
 		}
 		select {
--- a/control/receive.go
+++ b/control/receive.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 
 	"peridotcrank.dev/eventlog"
@@ -11,18 +9,9 @@
 	"peridotcrank.dev/peer/peerpb"
 )
 
-// ErrNotMember means that a heartbeat came from a process that the member view does not hold.
-var ErrNotMember = errors.New("sender is not in the member view")
-
-// ReceiveHeartbeat takes in a peer's heartbeat and returns the reply.
-func (c *Controller) ReceiveHeartbeat(ctx context.Context, m *peerpb.Heartbeat) (*peerpb.Heartbeat, error) {
-	reply := make(chan *peerpb.Heartbeat, 1)
-	c.send(ctx, heartbeatReceived{message: m, reply: reply})
-	answer, err := receive(ctx, reply)
-	if err == nil && answer == nil {
-		return nil, ErrNotMember
-	}
-	return answer, err
+// ReceiveHeartbeat takes in a peer's heartbeat.
+func (c *Controller) ReceiveHeartbeat(ctx context.Context, m *peerpb.Heartbeat) {
+	c.send(ctx, heartbeatReceived{message: m})
 }
 
 // ReceiveRowsRequest returns the rows that a peer lacks.
@@ -45,8 +34,8 @@
 // ReceiveConfiguration puts a configuration that a peer has accepted in force.
 // A nil error confirms that it, or a newer one, is in force.
 func (c *Controller) ReceiveConfiguration(ctx context.Context, m *peerpb.ConfigPush) error {
-	var config fleet.Configuration
-	if err := json.Unmarshal(m.GetDocument(), &config); err != nil {
+	config, err := decodeDocument(m.GetDocument())
+	if err != nil {
 		c.options.Log.Record(eventlog.ConfigUnreadable, eventlog.Fields{"config_version": m.GetVersion(), "error": err.Error()})
 		return fmt.Errorf("decode configuration %d: %w", m.GetVersion(), err)
 	}
--- a/peridotcrank/entry/entry_test.go
+++ b/peridotcrank/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"testing"
 	"time"
 
@@ -72,11 +73,22 @@
 	return s
 }
 
+// lastPort is the last port given out. Ports are below the range from which
+// the system takes those of outgoing connections, which would otherwise take a
+// port between this look and the listener of the process.
+var lastPort = 11_000 + os.Getpid()%1000*16
+
 func freeAddress(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	for range 1000 {
+		lastPort++
+		address := fmt.Sprintf("127.0.0.1:%d", lastPort)
+		if l, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, l.Close())
+			return netip.MustParseAddrPort(address)
+		}
+	}
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 func (s *testSite) start(id fleet.MemberID) {
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -273,6 +273,7 @@
 	err := named("drain callers", p.callers.Shutdown(ctx))
 	p.handOverClaims(ctx)
 	err = errors.Join(err, named("leave the member view", p.controller.Leave(ctx)))
+	p.handOverSlots(ctx)
 	err = errors.Join(err, named("stop administration", p.admin.Shutdown(ctx)))
 	code := eventlog.ProcessStopped
 	if err != nil {
@@ -293,6 +294,16 @@
 	p.log.Record(eventlog.ClaimsHandedOver, eventlog.Fields{"records": p.claims.Stats().Records})
 }
 
+// handOverSlots gives the slots to their next homes, which otherwise wait until
+// this process's view must have lapsed. A failure costs them that time only.
+func (p *Process) handOverSlots(ctx context.Context) {
+	p.router.Close()
+	left := func(s *control.State) bool { return !s.InView }
+	if p.controller.Await(ctx, left) == nil {
+		_ = p.router.Flush(ctx)
+	}
+}
+
 func named(step string, err error) error {
 	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/routing/flow_test.go
+++ b/routing/flow_test.go
@@ -209,7 +209,7 @@
 		m["entry-0"].SetView(s, fleet.MemberView{Version: 4, Members: view.Members[:1]}, view.Members[0])
 		time.Sleep(slots.DefaultValidity + slots.DefaultInFlight - 1)
 		assert.Assert(t, m["entry-0"].IdleSlots()[testPool] < 18)
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		assert.Equal(t, m["entry-0"].IdleSlots()[testPool], 18)
 	})
 }
--- a/testbed/main.go
+++ b/testbed/main.go
@@ -26,6 +26,7 @@
 	add("verify", "Compare what callers saw with what backend servers ran", &verifyCommand{})
 	add("versions", "Check that the configuration in force never becomes older", &versionsCommand{})
 	add("phase", "Wait until a plan's VM has reached a phase", &phaseCommand{})
+	add("fit", "Fit lines to the output of the scale benchmarks", &fitCommand{})
 	if _, err := parser.Parse(); err != nil {
 		var flagsError *flags.Error
 		if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
