--- a/limits/slots/homes_test.go
+++ b/limits/slots/homes_test.go
@@ -112,20 +112,20 @@
 // have changed again, and the home in between may have begun to use it.
 func TestHandoverNamesTheViewOfTheLoss(t *testing.T) {
 	vms, members := site(9, 9)
-	views := []fleet.MemberView{{Version: 1, Members: members[:1]}, {Version: 2, Members: members[:4]}, {Version: 3, Members: members}}
 	l, err := NewLedger(Options{})
 	assert.NilError(t, err)
-	now := time.Unix(1000, 0)
-	l.SetMembers(now, views[0], members[0], true)
-	l.SetWorkers(now, vms)
-	w := l.Worker("vm-00")
+	adopt := func(version uint64, n int) {
+		l.SetMembers(time.Unix(1000, 0), fleet.MemberView{Version: version, Members: members[:n]}, members[0], true)
+	}
+	adopt(1, 1)
+	w := l.PutWorker(time.Unix(1000, 0), vms["vm-00"])
 	each(w.Free(), func(i int) { l.Take(w, i) })
-	l.SetMembers(now, views[1], members[0], true)
+	adopt(2, 4)
 	lost := w.owing
-	l.SetMembers(now, views[2], members[0], true)
+	adopt(3, 9)
 	l.Handovers()
 	each(lost, func(i int) { l.Release(w, i) })
-	after := assign(vms, views[2].Members)
+	after := assign(vms, members)
 	moved := 0
 	for _, h := range l.Handovers() {
 		assert.Equal(t, h.View, uint64(2))
--- a/routing/health_test.go
+++ b/routing/health_test.go
@@ -112,9 +112,9 @@
 	assert.Equal(t, h.ejections, 1)
 }
 
-// Guards against blaming a backend server for requests that this process
-// itself did not send.
-func TestInvalidReservationIsNotAFailure(t *testing.T) {
+// Guards against sending with a view that is not valid, and against blaming a
+// backend server for requests that this process itself did not send.
+func TestInvalidView(t *testing.T) {
 	valid := true
 	r := newRouter(snapshot(2), Options{})
 	r.SetValidity(func() bool { return valid })
@@ -123,6 +123,8 @@
 		h := acquire(t, r, Request{})
 		valid = false
 		assert.Assert(t, !h.Valid())
+		_, err := r.Acquire(t.Context(), Request{Pool: testPool})
+		assert.Equal(t, reason(err), ShedViewExpired)
 		h.Done(ResultNotWritten)
 	}
 	assert.Equal(t, ejected(r), 0)
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -117,18 +117,6 @@
 	acquire(t, r, Request{})
 }
 
-// Guards against sending with a view that is not valid.
-func TestInvalidView(t *testing.T) {
-	valid := true
-	r := newRouter(snapshot(1), Options{})
-	r.SetValidity(func() bool { return valid })
-	held := acquire(t, r, Request{})
-	valid = false
-	assert.Assert(t, !held.Valid())
-	_, err := r.Acquire(t.Context(), Request{Pool: testPool})
-	assert.Equal(t, reason(err), ShedViewExpired)
-}
-
 // Guards against a slot being used after its home has changed.
 func TestLostHomeStopsAtOnce(t *testing.T) {
 	s := snapshot(1)
@@ -193,18 +181,13 @@
 	r := newRouter(snapshot(36), Options{})
 	var avoid []Target
 	racks, zones := map[fleet.RackID]bool{}, map[fleet.ZoneID]bool{}
-	for range 3 {
+	for n := range 9 {
 		target := acquire(t, r, Request{Avoid: avoid}).Target()
 		avoid = append(avoid, target)
 		racks[target.Rack], zones[target.Zone] = true, true
+		assert.Equal(t, len(zones), min(n+1, 3))
+		assert.Equal(t, len(racks), n+1)
 	}
-	assert.Equal(t, len(zones), 3)
-	for range 6 {
-		target := acquire(t, r, Request{Avoid: avoid}).Target()
-		avoid = append(avoid, target)
-		racks[target.Rack] = true
-	}
-	assert.Equal(t, len(racks), 9)
 }
 
 // Guards against a slot that leaks when it is granted to a request that has
