--- a/limits/slots/handover.go
+++ b/limits/slots/handover.go
@@ -17,13 +17,13 @@
 // handOver notes that a lost slot is not used any more.
 func (l *Ledger) handOver(w *Worker, index int) {
 	s := &w.slots[index]
-	for i := range l.owed {
-		if h := &l.owed[i]; h.To == s.heir && h.View == s.lost {
+	for i := range l.handovers {
+		if h := &l.handovers[i]; h.To == s.newHome && h.View == s.lostView {
 			h.Slots = append(h.Slots, Slot{w.id, index})
 			return
 		}
 	}
-	l.owed = append(l.owed, Handover{s.heir, s.lost, []Slot{{w.id, index}}})
+	l.handovers = append(l.handovers, Handover{s.newHome, s.lostView, []Slot{{w.id, index}}})
 }
 
 // Handovers returns the slots that this process has lost with a change of view
@@ -31,7 +31,7 @@
 // ReturnRequest with its View, so that the new home need not wait. A lost
 // message costs time only.
 func (l *Ledger) Handovers() []Handover {
-	owed := l.owed
-	l.owed = nil
-	return owed
+	taken := l.handovers
+	l.handovers = nil
+	return taken
 }
--- a/limits/slots/homes.go
+++ b/limits/slots/homes.go
@@ -10,8 +10,8 @@
 	"peridotcrank.dev/fleet"
 )
 
-// nobody is the home of a slot while the member view is empty.
-const nobody = -1
+// noMember is the home of a slot while the member view is empty.
+const noMember = -1
 
 // Homes assigns a home to each slot of a set of workers by rendezvous hashing:
 // the home is the member with the highest hash of slot and member among the
@@ -32,7 +32,7 @@
 type homeRow struct {
 	zone   fleet.ZoneID
 	hash   uint64
-	homes  []int // Index into Homes.members, or nobody.
+	homes  []int // Index into Homes.members, or noMember.
 	scores []score
 }
 
@@ -59,7 +59,7 @@
 // or there is no member.
 func (h *Homes) Home(s Slot) (fleet.Member, bool) {
 	row, ok := h.workers[s.VM]
-	if !ok || s.Index < 0 || s.Index >= len(row.homes) || row.homes[s.Index] == nobody {
+	if !ok || s.Index < 0 || s.Index >= len(row.homes) || row.homes[s.Index] == noMember {
 		return fleet.Member{}, false
 	}
 	return h.members[row.homes[s.Index]].member, true
@@ -113,12 +113,12 @@
 	}
 }
 
-// positions maps each present member to its index in next, or to nobody when
+// positions maps each present member to its index in next, or to noMember when
 // it has left or changed zone.
 func (h *Homes) positions(next []candidate) []int {
 	moved := make([]int, len(h.members))
 	for i, c := range h.members {
-		moved[i] = nobody
+		moved[i] = noMember
 		if j, ok := find(next, c.member.ID); ok && next[j].member.Zone == c.member.Zone {
 			moved[i] = j
 		}
@@ -139,30 +139,30 @@
 
 func (h *Homes) update(row *homeRow, moved, joined []int) {
 	for i, home := range row.homes {
-		if home == nobody || moved[home] == nobody {
+		if home == noMember || moved[home] == noMember {
 			h.elect(row, i)
 			continue
 		}
 		row.homes[i] = moved[home]
 		for _, j := range joined {
-			h.challenge(row, i, j)
+			h.consider(row, i, j)
 		}
 	}
 }
 
 // elect compares all members for a slot.
 func (h *Homes) elect(row *homeRow, index int) {
-	row.homes[index] = nobody
+	row.homes[index] = noMember
 	for j := range h.members {
-		h.challenge(row, index, j)
+		h.consider(row, index, j)
 	}
 }
 
-// challenge makes member j the home of a slot when it beats the present home.
-func (h *Homes) challenge(row *homeRow, index, j int) {
+// consider makes member j the home of a slot when it beats the present home.
+func (h *Homes) consider(row *homeRow, index, j int) {
 	c := &h.members[j]
 	s := score{near: c.member.Zone == row.zone, hash: rendezvous(row.hash, index, c.hash)}
-	if row.homes[index] == nobody || s.beats(row.scores[index]) {
+	if row.homes[index] == noMember || s.beats(row.scores[index]) {
 		row.homes[index], row.scores[index] = j, s
 	}
 }
--- a/limits/slots/homes_test.go
+++ b/limits/slots/homes_test.go
@@ -121,7 +121,7 @@
 	w := l.PutWorker(time.Unix(1000, 0), vms["vm-00"])
 	each(w.Free(), func(i int) { l.Take(w, i) })
 	adopt(2, 4)
-	lost := w.owing
+	lost := w.handoverDue
 	adopt(3, 9)
 	l.Handovers()
 	each(lost, func(i int) { l.Release(w, i) })
--- a/limits/slots/ledger.go
+++ b/limits/slots/ledger.go
@@ -21,10 +21,10 @@
 	// settled is the time at which a slot gained with the latest member view
 	// becomes usable. It applies to workers that appear later, too, since
 	// peers may know them under an older member view.
-	settled time.Time
-	timers  timers
-	owed    []Handover
-	given   []giving
+	settled   time.Time
+	timers    timers
+	handovers []Handover
+	returns   []pendingReturn
 }
 
 // NewLedger returns a Ledger without workers and members.
@@ -54,12 +54,12 @@
 func (l *Ledger) Release(w *Worker, index int) {
 	bit := uint64(1) << index
 	w.busy &^= bit
-	if w.owing&bit != 0 {
-		w.owing &^= bit
+	if w.handoverDue&bit != 0 {
+		w.handoverDue &^= bit
 		l.handOver(w, index)
 	}
-	if w.overdue&bit != 0 {
-		w.overdue &^= bit
+	if w.returnDue&bit != 0 {
+		w.returnDue &^= bit
 		l.giveBack(w, index)
 	}
 	l.forget(w)
@@ -215,7 +215,7 @@
 func (l *Ledger) lose(w *Worker, index int, m missed) {
 	bit := uint64(1) << index
 	home, known := l.homes.Home(Slot{w.id, index})
-	w.slots[index].lost, w.slots[index].heir = l.view.Version, home.ID
+	w.slots[index].lostView, w.slots[index].newHome = l.view.Version, home.ID
 	// A member that was removed in a version that it skipped knows nothing
 	// about the home which that version gave to its slots.
 	certain := m == seen || m == skipped && isMember(l.view, l.self)
@@ -225,7 +225,7 @@
 	switch {
 	case !unused:
 	case w.busy&bit != 0:
-		w.owing |= bit
+		w.handoverDue |= bit
 	default:
 		l.handOver(w, index)
 	}
@@ -237,14 +237,14 @@
 	w.waiting &^= bit
 	w.lent &^= bit
 	w.borrowed &^= bit
-	w.overdue &^= bit
+	w.returnDue &^= bit
 	w.slots[index].until = time.Time{}
 }
 
 // gain starts the wait for a slot whose home is now this process.
 func (l *Ledger) gain(now time.Time, w *Worker, index int) {
 	l.drop(w, index)
-	w.owing &^= 1 << index
+	w.handoverDue &^= 1 << index
 	w.slots[index].gained = l.view.Version
 	end := l.settled
 	if w.settled.After(end) {
@@ -261,7 +261,7 @@
 // settle ends the wait for a slot that its previous home has handed over.
 func (l *Ledger) settle(w *Worker, index int) bool {
 	s := &w.slots[index]
-	if w.waiting&(1<<index) == 0 || s.vouched < s.gained || s.vouched > l.view.Version {
+	if w.waiting&(1<<index) == 0 || s.releasedView < s.gained || s.releasedView > l.view.Version {
 		return false
 	}
 	l.drop(w, index)
--- a/limits/slots/loans.go
+++ b/limits/slots/loans.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// giving is a borrowed slot to be given back.
-type giving struct {
+// pendingReturn is a borrowed slot to be given back.
+type pendingReturn struct {
 	lender fleet.MemberID
 	slot   Slot
 	// before is the time after which the return is not sent any more: it
@@ -87,7 +87,7 @@
 
 func (l *Ledger) giveBack(w *Worker, index int) {
 	s := w.slots[index]
-	l.given = append(l.given, giving{s.peer.ID, Slot{w.id, index}, s.leased.Add(l.options.InFlight / 2)})
+	l.returns = append(l.returns, pendingReturn{s.peer.ID, Slot{w.id, index}, s.leased.Add(l.options.InFlight / 2)})
 }
 
 // Returns returns, by lender, the borrowed slots that this process no longer
@@ -95,16 +95,16 @@
 // View 0. A lost message keeps the slots from their home until the in-flight
 // time after the lease has passed.
 func (l *Ledger) Returns(now time.Time) map[fleet.MemberID][]Slot {
-	if len(l.given) == 0 {
+	if len(l.returns) == 0 {
 		return nil
 	}
 	byLender := map[fleet.MemberID][]Slot{}
-	for _, g := range l.given {
+	for _, g := range l.returns {
 		if now.Before(g.before) {
 			byLender[g.lender] = append(byLender[g.lender], g.slot)
 		}
 	}
-	l.given = l.given[:0]
+	l.returns = l.returns[:0]
 	return byLender
 }
 
@@ -121,7 +121,7 @@
 			freed = l.endLoan(w, s.Index, r.From) || freed
 			continue
 		}
-		w.slots[s.Index].vouched = max(w.slots[s.Index].vouched, r.View)
+		w.slots[s.Index].releasedView = max(w.slots[s.Index].releasedView, r.View)
 		freed = l.settle(w, s.Index) || freed
 	}
 	return freed
--- a/limits/slots/timers.go
+++ b/limits/slots/timers.go
@@ -59,7 +59,7 @@
 	bit := uint64(1) << index
 	w.borrowed &^= bit
 	if w.busy&bit != 0 {
-		w.overdue |= bit
+		w.returnDue |= bit
 		return
 	}
 	l.giveBack(w, index)
--- a/limits/slots/worker.go
+++ b/limits/slots/worker.go
@@ -12,18 +12,18 @@
 type Worker struct {
 	id   fleet.VMID
 	pool fleet.PoolID
-	gone bool // The worker is not in the fleet view; it is kept while slots are busy.
+	gone bool // The worker is not in the fleet view; it is kept while slots are busy or lent.
 
 	// settled is the time at which slots gained by a change of zone become usable.
 	settled time.Time
 
-	mine     uint64 // Home is this process.
-	waiting  uint64 // Subset of mine: the previous home may still use the slot.
-	lent     uint64 // Subset of mine.
-	borrowed uint64 // Home is a peer that has lent the slot.
-	busy     uint64 // Held by a request of this process.
-	owing    uint64 // Lost while busy; handed over to the new home on release.
-	overdue  uint64 // The lease ended while busy; given back to the lender on release.
+	mine        uint64 // Home is this process.
+	waiting     uint64 // Subset of mine: the previous home may still use the slot.
+	lent        uint64 // Subset of mine.
+	borrowed    uint64 // Home is a peer that has lent the slot.
+	busy        uint64 // Held by a request of this process.
+	handoverDue uint64 // Lost while busy; handed over to the new home on release.
+	returnDue   uint64 // The lease ended while busy; given back to the lender on release.
 
 	slots []state
 }
@@ -39,13 +39,13 @@
 	leased time.Time
 	// gained is the version of the view with which the slot became mine.
 	gained uint64
-	// lost and heir are the version of the view with which the slot was lost,
+	// lostView and newHome are the version of the view with which the slot was lost,
 	// and its home in that view.
-	lost uint64
-	heir fleet.MemberID
-	// vouched is the version of the view with which a previous home has
+	lostView uint64
+	newHome  fleet.MemberID
+	// releasedView is the version of the view with which a previous home has
 	// confirmed that it no longer uses the slot.
-	vouched uint64
+	releasedView uint64
 }
 
 // ID returns the worker's VM.
--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -100,7 +100,7 @@
 	case o := <-entry.Value.outcome:
 		return o.result()
 	case <-ctx.Done():
-		r.leave(entry)
+		r.abandon(entry)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return nil, r.refusal(entry, ShedDeadline)
 		}
@@ -140,8 +140,8 @@
 	return r.pools[entry.Value.request.Pool].queue.Remove(entry)
 }
 
-// leave withdraws a request, or releases the slot it has got meanwhile.
-func (r *Router) leave(entry *admission.Entry[*waiter]) {
+// abandon withdraws a request, or releases the slot it has got meanwhile.
+func (r *Router) abandon(entry *admission.Entry[*waiter]) {
 	if r.withdraw(entry) {
 		return
 	}
@@ -171,7 +171,7 @@
 	if p == nil || p.queue.Len() == 0 {
 		return
 	}
-	if reason, gone := r.hopeless(now, p); gone {
+	if reason, gone := r.unservable(now, p); gone {
 		for e := p.queue.Next(); e != nil; e = p.queue.Next() {
 			e.Value.refuse(p, reason)
 		}
@@ -196,8 +196,8 @@
 	}
 }
 
-// hopeless reports why no waiting request of the pool can be served.
-func (r *Router) hopeless(now time.Time, p *pool) (ShedReason, bool) {
+// unservable reports why no waiting request of the pool can be served.
+func (r *Router) unservable(now time.Time, p *pool) (ShedReason, bool) {
 	switch {
 	case r.closed:
 		return ShedStopping, true
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -52,7 +52,7 @@
 	draining := change(s, "vm-07", func(vm *fleet.VM) { vm.Phase = fleet.PhaseDraining })
 	draining.Revision = 0
 	for b.Loop() {
-		r.SetView(draining, solo(), self)
-		r.SetView(s, solo(), self)
+		r.SetView(draining, singleMember(), self)
+		r.SetView(s, singleMember(), self)
 	}
 }
--- a/routing/borrow.go
+++ b/routing/borrow.go
@@ -27,8 +27,8 @@
 	at    time.Time
 }
 
-// letter is a return or a handover to be sent to a peer.
-type letter struct {
+// returnMessage is a return or a handover to be sent to a peer.
+type returnMessage struct {
 	member fleet.MemberID
 	slots.ReturnRequest
 }
@@ -180,10 +180,10 @@
 		return
 	}
 	for id, s := range returns {
-		r.outbox = append(r.outbox, letter{id, slots.ReturnRequest{From: r.self.ID, Slots: s}})
+		r.outbox = append(r.outbox, returnMessage{id, slots.ReturnRequest{From: r.self.ID, Slots: s}})
 	}
 	for _, h := range handovers {
-		r.outbox = append(r.outbox, letter{h.To, slots.ReturnRequest{From: r.self.ID, View: h.View, Slots: h.Slots}})
+		r.outbox = append(r.outbox, returnMessage{h.To, slots.ReturnRequest{From: r.self.ID, View: h.View, Slots: h.Slots}})
 	}
 	if len(r.outbox) > 0 && !r.sending {
 		r.sending, r.delivered = true, make(chan struct{})
--- a/routing/event.go
+++ b/routing/event.go
@@ -58,7 +58,7 @@
 	b.health.observe(now, result, b.vm.Slots)
 	attempt := b.health
 	if result != ResultAnswered {
-		p.judge(now, b, r.options.Ejection)
+		p.ejectIfFailing(now, b, r.options.Ejection)
 	}
 	switch {
 	case b.health.ejected(now):
--- a/routing/health.go
+++ b/routing/health.go
@@ -82,9 +82,9 @@
 	*h = health{ejectedUntil: now.Add(length), ejections: h.ejections + 1, allowed: 1}
 }
 
-// judge ejects a backend server of the pool after a failed attempt, unless
+// ejectIfFailing ejects a backend server of the pool after a failed attempt, unless
 // half of the pool is ejected already.
-func (p *pool) judge(now time.Time, b *backend, o EjectionOptions) {
+func (p *pool) ejectIfFailing(now time.Time, b *backend, o EjectionOptions) {
 	h := &b.health
 	probation := h.allowed > 0
 	refused := h.refusals >= o.Refusals
--- a/routing/router.go
+++ b/routing/router.go
@@ -27,7 +27,7 @@
 	pools                  map[fleet.PoolID]*pool
 	leaving                map[fleet.VMID]bool // Reports about VMs that are not in the view yet.
 	tallies                map[vmKey]*tally
-	outbox                 []letter
+	outbox                 []returnMessage
 	sending                bool          // The sending goroutine runs.
 	delivered              chan struct{} // Closed when it ends.
 	timer                  *time.Timer
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -44,13 +44,15 @@
 	return next
 }
 
-func solo() fleet.MemberView { return fleet.MemberView{Version: 1, Members: []fleet.Member{self}} }
+func singleMember() fleet.MemberView {
+	return fleet.MemberView{Version: 1, Members: []fleet.Member{self}}
+}
 
 func newRouter(s *fleet.Snapshot, o Options) *Router {
 	o.Random = rand.NewPCG(1, 2)
 	r := New(o)
 	r.SetValidity(func() bool { return true })
-	r.SetView(s, solo(), self)
+	r.SetView(s, singleMember(), self)
 	return r
 }
 
@@ -86,7 +88,7 @@
 			held := acquire(t, r, Request{})
 			assert.Equal(t, held.Target().VM, fleet.VMID("vm-00"), "zone-local first")
 			assert.Assert(t, held.Valid())
-			r.SetView(next, solo(), self)
+			r.SetView(next, singleMember(), self)
 			if next == nil {
 				r.ReportLeaving([]fleet.VMID{"vm-00"})
 			}
@@ -112,8 +114,8 @@
 	_, err := r.Acquire(t.Context(), Request{Pool: testPool})
 	assert.Equal(t, reason(err), ShedNoTarget)
 	s = change(s, "vm-00", func(vm *fleet.VM) { vm.Phase = fleet.PhaseDraining })
-	r.SetView(s, solo(), self)
-	r.SetView(change(s, "vm-00", func(vm *fleet.VM) { vm.Phase = fleet.PhaseServing }), solo(), self)
+	r.SetView(s, singleMember(), self)
+	r.SetView(change(s, "vm-00", func(vm *fleet.VM) { vm.Phase = fleet.PhaseServing }), singleMember(), self)
 	acquire(t, r, Request{})
 }
 
@@ -157,8 +159,8 @@
 		wait(ctx, "cancelled", 2, 3*time.Second)
 		cancel()
 		assert.Equal(t, <-order, "cancelled: admission: pool p: context canceled")
-		wait(t.Context(), "hopeless", -1, 100*time.Millisecond)
-		assert.Equal(t, <-order, "hopeless: "+string(ShedDeadline))
+		wait(t.Context(), "unservable", -1, 100*time.Millisecond)
+		assert.Equal(t, <-order, "unservable: "+string(ShedDeadline))
 		held[0].Done(ResultAnswered)
 		for _, want := range []string{"urgent", "soon", "late"} {
 			assert.Equal(t, <-order, want)
@@ -198,7 +200,7 @@
 	_, entry, err := r.enter(Request{Pool: testPool})
 	assert.NilError(t, err)
 	held[0].Done(ResultAnswered)
-	r.leave(entry)
+	r.abandon(entry)
 	assert.Equal(t, r.InFlight("vm-00", 0), 1)
 	acquire(t, r, Request{})
 }
