--- a/limits/slots/homes_test.go
+++ b/limits/slots/homes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -110,3 +111,33 @@
 		}
 	})
 }
+
+// Guards against a handover in the name of a later view: the slot's home may
+// have changed again, and the home in between may have begun to use it.
+func TestHandoverNamesTheViewOfTheLoss(t *testing.T) {
+	vms, members := site(9, 9)
+	l, err := NewLedger(Options{})
+	assert.NilError(t, err)
+	adopt := func(version uint64, n int) {
+		l.SetMembers(time.Unix(1000, 0), fleet.MemberView{Version: version, Members: members[:n]}, members[0], true)
+	}
+	adopt(1, 1)
+	w := l.PutWorker(time.Unix(1000, 0), vms["vm-00"])
+	each(w.Free(), func(i int) { l.Take(w, i) })
+	adopt(2, 4)
+	lost := w.handoverDue
+	adopt(3, 9)
+	l.Handovers()
+	each(lost, func(i int) { l.Release(w, i) })
+	after := assign(vms, members)
+	moved := 0
+	for _, h := range l.Handovers() {
+		assert.Equal(t, h.View, uint64(2))
+		for _, s := range h.Slots {
+			if home, _ := after.Home(s); home.ID != h.To {
+				moved++
+			}
+		}
+	}
+	assert.Assert(t, moved > 0, "no slot has moved twice")
+}
--- a/limits/slots/ledger.go
+++ b/limits/slots/ledger.go
@@ -21,10 +21,10 @@
 	// settled is the time at which a slot gained with the latest member view
 	// becomes usable. It applies to workers that appear later, too, since
 	// peers may know them under an older member view.
-	settled time.Time
-	timers  timers
-	owed    map[fleet.MemberID][]Slot // Handovers by new home.
-	given   []giving
+	settled   time.Time
+	timers    timers
+	handovers []Handover
+	returns   []pendingReturn
 }
 
 // NewLedger returns a Ledger without workers and members.
@@ -33,7 +33,7 @@
 	if err := o.Validate(); err != nil {
 		return nil, err
 	}
-	return &Ledger{options: o, homes: NewHomes(), workers: map[fleet.VMID]*Worker{}, owed: map[fleet.MemberID][]Slot{}}, nil
+	return &Ledger{options: o, homes: NewHomes(), workers: map[fleet.VMID]*Worker{}}, nil
 }
 
 // Version returns the version of the member view.
@@ -54,12 +54,12 @@
 func (l *Ledger) Release(w *Worker, index int) {
 	bit := uint64(1) << index
 	w.busy &^= bit
-	if w.owing&bit != 0 {
-		w.owing &^= bit
-		l.owe(Slot{w.id, index})
+	if w.handoverDue&bit != 0 {
+		w.handoverDue &^= bit
+		l.handOver(w, index)
 	}
-	if w.overdue&bit != 0 {
-		w.overdue &^= bit
+	if w.returnDue&bit != 0 {
+		w.returnDue &^= bit
 		l.giveBack(w, index)
 	}
 	l.forget(w)
@@ -73,26 +73,6 @@
 	}
 }
 
-// owe notes that a slot is to be handed to its new home.
-func (l *Ledger) owe(s Slot) {
-	if home, ok := l.homes.Home(s); ok && home.ID != l.self.ID {
-		l.owed[home.ID] = append(l.owed[home.ID], s)
-	}
-}
-
-// Handovers returns, by new home, the slots that this process has lost with a
-// change of view and no longer uses, and forgets them. The caller sends them
-// as ReturnRequest with the present Version, so that the new homes need not
-// wait. Losing such a message costs time only.
-func (l *Ledger) Handovers() map[fleet.MemberID][]Slot {
-	if len(l.owed) == 0 {
-		return nil
-	}
-	owed := l.owed
-	l.owed = map[fleet.MemberID][]Slot{}
-	return owed
-}
-
 // SetWorkers replaces the set of workers.
 func (l *Ledger) SetWorkers(now time.Time, vms map[fleet.VMID]fleet.VM) {
 	for id, w := range l.workers {
@@ -234,15 +214,20 @@
 // lose stops the use of a slot whose home is now another process.
 func (l *Ledger) lose(w *Worker, index int, m missed) {
 	bit := uint64(1) << index
-	unused := m != lapsed && (w.waiting|w.lent)&bit == 0
+	home, known := l.homes.Home(Slot{w.id, index})
+	w.slots[index].lostView, w.slots[index].newHome = l.view.Version, home.ID
+	// A member that was removed in a version that it skipped knows nothing
+	// about the home which that version gave to its slots.
+	certain := m == seen || m == skipped && isMember(l.view, l.self)
+	unused := known && certain && (w.waiting|w.lent)&bit == 0
 	w.mine &^= bit
 	l.drop(w, index)
 	switch {
 	case !unused:
 	case w.busy&bit != 0:
-		w.owing |= bit
+		w.handoverDue |= bit
 	default:
-		l.owe(Slot{w.id, index})
+		l.handOver(w, index)
 	}
 }
 
@@ -252,14 +237,14 @@
 	w.waiting &^= bit
 	w.lent &^= bit
 	w.borrowed &^= bit
-	w.overdue &^= bit
+	w.returnDue &^= bit
 	w.slots[index].until = time.Time{}
 }
 
 // gain starts the wait for a slot whose home is now this process.
 func (l *Ledger) gain(now time.Time, w *Worker, index int) {
 	l.drop(w, index)
-	w.owing &^= 1 << index
+	w.handoverDue &^= 1 << index
 	w.slots[index].gained = l.view.Version
 	end := l.settled
 	if w.settled.After(end) {
@@ -276,7 +261,7 @@
 // settle ends the wait for a slot that its previous home has handed over.
 func (l *Ledger) settle(w *Worker, index int) bool {
 	s := &w.slots[index]
-	if w.waiting&(1<<index) == 0 || s.vouched < s.gained || s.vouched > l.view.Version {
+	if w.waiting&(1<<index) == 0 || s.releasedView < s.gained || s.releasedView > l.view.Version {
 		return false
 	}
 	l.drop(w, index)
--- a/routing/borrow.go
+++ b/routing/borrow.go
@@ -27,8 +27,8 @@
 	at    time.Time
 }
 
-// letter is a return or a handover to be sent to a peer.
-type letter struct {
+// returnMessage is a return or a handover to be sent to a peer.
+type returnMessage struct {
 	member fleet.MemberID
 	slots.ReturnRequest
 }
@@ -180,10 +180,10 @@
 		return
 	}
 	for id, s := range returns {
-		r.outbox = append(r.outbox, letter{id, slots.ReturnRequest{From: r.self.ID, Slots: s}})
+		r.outbox = append(r.outbox, returnMessage{id, slots.ReturnRequest{From: r.self.ID, Slots: s}})
 	}
-	for id, s := range handovers {
-		r.outbox = append(r.outbox, letter{id, slots.ReturnRequest{From: r.self.ID, View: r.ledger.Version(), Slots: s}})
+	for _, h := range handovers {
+		r.outbox = append(r.outbox, returnMessage{h.To, slots.ReturnRequest{From: r.self.ID, View: h.View, Slots: h.Slots}})
 	}
 	if len(r.outbox) > 0 && !r.sending {
 		r.sending, r.delivered = true, make(chan struct{})
@@ -230,10 +230,10 @@
 	}
 }
 
-func (r *Router) deliverOne(l letter) error {
+func (r *Router) deliverOne(m returnMessage) error {
 	ctx, cancel := context.WithTimeout(context.Background(), r.options.Borrow.Timeout)
 	defer cancel()
-	return r.options.Peers.Return(ctx, l.member, l.ReturnRequest)
+	return r.options.Peers.Return(ctx, m.member, m.ReturnRequest)
 }
 
 const (
@@ -247,10 +247,10 @@
 // repeatHandover repeats a handover that failed. A member that has just joined
 // often has no session yet. Repetitions are harmless, because a handover names
 // the view that it is about.
-func (r *Router) repeatHandover(l letter) {
+func (r *Router) repeatHandover(m returnMessage) {
 	for range handoverAttempts {
 		time.Sleep(handoverInterval)
-		if r.deliverOne(l) == nil {
+		if r.deliverOne(m) == nil {
 			return
 		}
 	}
--- a/routing/delta_test.go
+++ b/routing/delta_test.go
@@ -36,8 +36,8 @@
 			if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
 				with, d := *next, delta
 				with.Delta = &d
-				quick.SetView(&with, solo(), self)
-				full.SetView(next, solo(), self)
+				quick.SetView(&with, singleMember(), self)
+				full.SetView(next, singleMember(), self)
 				assert.DeepEqual(t, layout(quick), layout(full))
 				assert.Equal(t, len(quick.tallies), len(quick.backends), "tallies of ended stays are dropped")
 			}
--- a/routing/router.go
+++ b/routing/router.go
@@ -29,7 +29,7 @@
 	leaving                map[fleet.VMID]bool // Reports about VMs that are not in the view yet.
 	tallies                map[vmKey]*tally
 	retired                []vmKey // Tallies of stays that have ended.
-	outbox                 []letter
+	outbox                 []returnMessage
 	sending                bool          // The sending goroutine runs.
 	delivered              chan struct{} // Closed when it ends.
 	timer                  *time.Timer
