Wait for a short recovery of claims instead of answering unknown

After each join, the owners of keys recover claims for some tens of milliseconds and cannot tell whether a key was seen. Requests of that moment were answered as unknown, also in a planned replacement. A claim now asks up to 6 times in 250 ms; such an answer records nothing at the owner. The bound keeps the messages small while an owner is unsure for the whole window.

--- a/claims/claim.go
+++ b/claims/claim.go
@@ -29,12 +29,23 @@
 // of the claim's time; one share is left for the owner.
 const maxCopyAttempts = 3
 
+// An owner that recovers claims cannot tell for some tens of milliseconds after a
+// join or a planned stop. The claim waits that long, so that a planned change of
+// the view leaves no request unknown. The number of questions is small, since an
+// owner may also be unable to tell for the whole window.
+const (
+	maxRecoveringAttempts = 6
+	recoveringInterval    = 50 * time.Millisecond
+)
+
 // outcome is the result of asking for a claim. retry is set when the question
-// provably had no effect and may be put again.
+// provably had no effect and may be put again; recovering is set when the owner
+// may be able to tell later.
 type outcome struct {
-	verdict Verdict
-	err     error
-	retry   bool
+	verdict    Verdict
+	err        error
+	retry      bool
+	recovering bool
 }
 
 func undecided(step Step, peer fleet.MemberID, err error) outcome {
@@ -47,6 +58,12 @@
 	return o
 }
 
+func recovering(step Step, peer fleet.MemberID, err error) outcome {
+	o := again(step, peer, err)
+	o.recovering = true
+	return o
+}
+
 // Claim records key before dispatch. After VerdictFresh, check Dispatchable
 // immediately before sending.
 func (s *Service) Claim(ctx context.Context, key Key) (Verdict, error) {
@@ -105,6 +122,7 @@
 // time is over. Only questions without effect are repeated.
 func (s *Service) obtain(ctx context.Context, a *attempt) outcome {
 	var v *view
+	recoveringAttempts := 0
 	for {
 		current, changed := s.currentView()
 		a.effects = a.effects || (v != nil && v != current) // A recovery may have reported the claim.
@@ -113,7 +131,12 @@
 		if v != nil && len(v.byID) > 0 {
 			o = s.ask(ctx, a, v)
 		}
-		if !o.retry {
+		interval := s.config.RetryInterval
+		if o.recovering {
+			recoveringAttempts++
+			interval = recoveringInterval
+		}
+		if !o.retry || recoveringAttempts >= maxRecoveringAttempts {
 			return o
 		}
 		select {
@@ -121,7 +144,7 @@
 			o.err = fmt.Errorf("%w: %w", o.err, context.Cause(ctx))
 			return o
 		case <-changed:
-		case <-time.After(s.config.RetryInterval):
+		case <-time.After(interval):
 		}
 	}
 }
@@ -185,7 +208,7 @@
 	case !s.config.Valid():
 		return undecided(StepRecord, "", ErrNotValid)
 	case !s.certain(now, a.hash):
-		return undecided(StepRecord, "", ErrRecovering)
+		return recovering(StepRecord, "", ErrRecovering)
 	}
 	return outcome{verdict: VerdictFresh}
 }
@@ -214,6 +237,8 @@
 		return outcome{verdict: VerdictFull}
 	case peerpb.ClaimReply_VERDICT_WRONG_VIEW:
 		return again(step, member, ErrViewsDiffer)
+	case peerpb.ClaimReply_VERDICT_UNKNOWN:
+		return recovering(step, member, ErrUndecided) // Such an answer records nothing.
 	default:
 		return undecided(step, member, ErrUndecided)
 	}
--- a/claims/failure_test.go
+++ b/claims/failure_test.go
@@ -378,3 +378,26 @@
 	err := <-done
 	assert.Assert(t, !errors.Is(err, context.DeadlineExceeded), "%v", err)
 }
+
+// An owner that recovers for a moment, as after each join, must not leave the
+// requests of that moment unknown.
+func TestClaimWaitsForShortRecovery(t *testing.T) {
+	for _, dispatcher := range []fleet.MemberID{"a", "b"} {
+		s := newSite(t, 0, "z1", "z2", "z3")
+		key := s.keyOwnedBy(t, "b")
+		s.setComplete("b", false)
+		time.AfterFunc(2*recoveringInterval, func() { s.setComplete("b", true) })
+		s.expect(t, dispatcher, key, VerdictFresh)
+		s.expect(t, "c", key, VerdictSeen)
+	}
+}
+
+// setComplete changes whether the member knows all claims of its keys, as if it
+// had just joined the view.
+func (s *site) setComplete(member fleet.MemberID, complete bool) {
+	service := s.services[member]
+	service.lock()
+	defer service.mu.Unlock()
+	service.complete, service.completeFrom = complete, 0
+	service.history = []*view{service.view.without(member, 0), service.view}
+}
