--- a/control/members.go
+++ b/control/members.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/membership"
+	"peridotcrank.dev/peer/peerpb"
 	"peridotcrank.dev/store"
 )
 
@@ -86,8 +88,10 @@
 
 func (leaveStarted) apply(c *Controller) { c.leavingUs = true }
 
-// Leave removes this process from the member view.
-func (c *Controller) Leave(ctx context.Context) error {
+// Leave removes this process from the member view. It calls left once this
+// process has adopted the view without itself and before the remaining members
+// are made to, since they end their sessions with it then.
+func (c *Controller) Leave(ctx context.Context, left func(context.Context)) error {
 	c.send(ctx, leaveStarted{})
 	for {
 		state := c.State()
@@ -109,6 +113,10 @@
 		}
 		if result.Applied() {
 			c.Refresh()
+			if c.Await(ctx, func(s *State) bool { return !s.InView }) == nil {
+				left(ctx)
+			}
+			c.announceLeave(ctx, next, result.Revision)
 			return nil
 		}
 		if err := c.awaitMembers(ctx, state.MembersVersion); err != nil {
@@ -117,6 +125,49 @@
 	}
 }
 
+// announceLimit bounds the wait for the members that remain, which is a part of
+// the timeout of a planned stop.
+const announceLimit = time.Second
+
+// announceLeave waits until the remaining members have read the view without
+// this process. A member that missed it, because the process comes back before
+// the next read, could not tell a handover from the death of a process.
+func (c *Controller) announceLeave(ctx context.Context, next fleet.MemberView, revision store.Version) {
+	ctx, cancel := context.WithTimeout(ctx, announceLimit)
+	defer cancel()
+	state := c.State()
+	message := &peerpb.Heartbeat{
+		Member: string(state.Self.ID), Incarnation: state.Self.Incarnation, ViewVersion: next.Version,
+		FleetRevision: revision, ConfigVersion: state.Config.Version, StoreReachable: true,
+	}
+	var members sync.WaitGroup
+	for _, m := range next.Members {
+		members.Go(func() { c.announceLeaveTo(ctx, m.ID, message) })
+	}
+	members.Wait()
+}
+
+// announceLeaveTo repeats a heartbeat that makes the member read the view, until
+// the member has read it.
+func (c *Controller) announceLeaveTo(ctx context.Context, to fleet.MemberID, message *peerpb.Heartbeat) {
+	for {
+		// A member that holds the view refuses both, because it has no session
+		// with a process outside of it.
+		if c.options.Peers.Heartbeat(ctx, to, message) != nil {
+			return
+		}
+		reply, err := c.options.Peers.FetchRows(ctx, to, &peerpb.RowsRequest{Since: message.GetFleetRevision()})
+		if err != nil || reply.GetRevision() >= message.GetFleetRevision() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(awaitInterval):
+		}
+	}
+}
+
 func (c *Controller) logViewChange(before, after fleet.MemberView) {
 	former := make(map[fleet.MemberID]uint64)
 	for _, m := range before.Members {
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -272,8 +272,8 @@
 	defer cancel()
 	err := named("drain callers", p.callers.Shutdown(ctx))
 	p.handOverClaims(ctx)
-	err = errors.Join(err, named("leave the member view", p.controller.Leave(ctx)))
-	p.handOverSlots(ctx)
+	p.router.Close()
+	err = errors.Join(err, named("leave the member view", p.controller.Leave(ctx, p.handOverSlots)))
 	err = errors.Join(err, named("stop administration", p.admin.Shutdown(ctx)))
 	code := eventlog.ProcessStopped
 	if err != nil {
@@ -296,13 +296,7 @@
 
 // handOverSlots gives the slots to their next homes, which otherwise wait until
 // this process's view must have lapsed. A failure costs them that time only.
-func (p *Process) handOverSlots(ctx context.Context) {
-	p.router.Close()
-	left := func(s *control.State) bool { return !s.InView }
-	if p.controller.Await(ctx, left) == nil {
-		_ = p.router.Flush(ctx)
-	}
-}
+func (p *Process) handOverSlots(ctx context.Context) { _ = p.router.Flush(ctx) }
 
 func named(step string, err error) error {
 	if err == nil || errors.Is(err, http.ErrServerClosed) {
