--- /dev/null
+++ b/scripts/bench_path.sh
@@ -0,0 +1,50 @@
+#!/usr/bin/env bash
+# Measures an entry process with all guarantees on against the backend server
+# itself and against httputil.ReverseProxy, in one run, and prints a Markdown table.
+set -euo pipefail
+export PORTS=${PORTS:-50000}
+SITE_NAME=wa-south
+source "$(dirname "$0")/lib.sh"
+trap stop_all EXIT
+printf %s "$TOKEN" >"$RUN/token"
+chmod 600 "$RUN/token"
+TARGET=127.0.0.1:$((PORTS + 1000))
+PROXY=127.0.0.1:$((PORTS + 3))
+ROUNDS=${ROUNDS:-3}
+
+start backend "$BIN/testbed" backend --site quokka --base-port $((PORTS + 1000)) --control "$CONTROL" --service-time 0s --connections 2048
+wait_for 10 curl -fsS "http://$CONTROL/v1/runs"
+start platform "$BIN/testbed" platform --site quokka --base-port $((PORTS + 1000)) --listen "$PLATFORM" --control "$CONTROL"
+wait_for 10 curl -fsS "http://$PLATFORM/v1/vms"
+start proxy "$BIN/testbed" proxy --listen "$PROXY" --target "$TARGET"
+start_entry 1 wa-south-a
+wait_for 10 curl -s "http://$(admin_of 1)/v1/members"
+cat >"$RUN/services.yaml" <<YAML
+services:
+  - {name: counterdesk, path_prefix: /counterdesk/, pool: counterdesk, timeout: 5s, max_queue: 2000, availability_target: 0.999}
+YAML
+operator 1 config set "$RUN/services.yaml" >/dev/null
+wait_for 20 ready 1
+
+press() { "$BIN/testbed" press --name "$1" --url "http://$2/counterdesk/orders" "${@:3}"; }
+
+echo "Load average before: $(cut -d' ' -f1-3 /proc/loadavg); cores: $(nproc); $ROUNDS rounds."
+echo
+echo "| Path | Connections | Rate a second | Requests a second | Failed | p50 µs | p99 µs | p99.9 µs |"
+echo "|---|---|---|---|---|---|---|---|"
+for connections in 1 64 512; do
+  for _ in $(seq "$ROUNDS"); do
+    press "direct" "$TARGET" --connections "$connections"
+    press "ReverseProxy" "$PROXY" --connections "$connections"
+    press "entry process, GET" "$(callers_of 1)" --connections "$connections"
+    press "entry process, keyed POST" "$(callers_of 1)" --connections "$connections" --keyed
+  done
+done
+# Half load: half of what the baseline reaches at 64 connections.
+HALF=${HALF:-8000}
+for _ in $(seq "$ROUNDS"); do
+  press "direct" "$TARGET" --connections 64 --rate "$HALF"
+  press "ReverseProxy" "$PROXY" --connections 64 --rate "$HALF"
+  press "entry process, GET" "$(callers_of 1)" --connections 64 --rate "$HALF"
+  press "entry process, keyed POST" "$(callers_of 1)" --connections 64 --rate "$HALF" --keyed
+done
--- a/testbed/backend_command.go
+++ b/testbed/backend_command.go
@@ -16,6 +16,7 @@
 	BasePort    int           `long:"base-port" default:"21000" description:"first port of the backend servers"`
 	Control     string        `long:"control" default:"127.0.0.1:20002" description:"IP:port of the control endpoint"`
 	ServiceTime time.Duration `long:"service-time" default:"20ms" description:"mean time of a request"`
+	Connections int           `long:"connections" description:"connections that each backend server accepts; 0 takes the site's 64"`
 	Seed        uint64        `long:"seed" default:"1" description:"seed of the service times"`
 }
 
@@ -27,6 +28,9 @@
 	}
 	fleet := backend.NewFleet(&backend.Ledger{})
 	for i, vm := range s.VMs(c.BasePort) {
+		if c.Connections > 0 {
+			vm.Connections = c.Connections
+		}
 		err := fleet.Add(backend.Options{
 			VM: string(vm.ID), Address: vm.Address, Slots: vm.Slots, Connections: vm.Connections,
 			ServiceTime: c.ServiceTime, Seed: c.Seed + uint64(i),
--- a/testbed/main.go
+++ b/testbed/main.go
@@ -27,6 +27,8 @@
 	add("versions", "Check that the configuration in force never becomes older", &versionsCommand{})
 	add("phase", "Wait until a plan's VM has reached a phase", &phaseCommand{})
 	add("fit", "Fit lines to the output of the scale benchmarks", &fitCommand{})
+	add("press", "Measure throughput and latency of one address", &pressCommand{})
+	add("proxy", "Run httputil.ReverseProxy as baseline", &proxyCommand{})
 	if _, err := parser.Parse(); err != nil {
 		var flagsError *flags.Error
 		if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
