--- a/limits/slots/ledger.go
+++ b/limits/slots/ledger.go
@@ -16,6 +16,7 @@
 	options Options
 	homes   *Homes
 	workers map[fleet.VMID]*Worker
+	adopted bool // A member view has been adopted.
 	view    fleet.MemberView
 	self    fleet.Member
 	// settled is the time at which a slot gained with the latest member view
@@ -122,9 +123,8 @@
 	return w
 }
 
-// SetMembers adopts a member view; one that is not newer is ignored, unless
-// this process has joined again. The process stops using the slots it loses at
-// once. It uses a slot it gains when the previous home has handed it over, or
+// SetMembers adopts a member view; one that is not newer is ignored. The
+// process stops using the slots it loses at once. It uses a slot it gains when the previous home has handed it over, or
 // when the previous home's view must have lapsed and its requests have ended.
 //
 // continuous tells that the caller observed its present view as valid within
@@ -132,13 +132,13 @@
 // may have joined, used a slot and left in between, so that a process whose
 // view has lapsed must wait for all its slots.
 func (l *Ledger) SetMembers(now time.Time, view fleet.MemberView, self fleet.Member, continuous bool) {
-	joined := !isMember(l.view, self) || l.self.Incarnation != self.Incarnation
-	if view.Version <= l.view.Version && !joined {
+	if l.adopted && view.Version <= l.view.Version {
 		return
 	}
-	first := l.view.Version == 0 && view.Version <= 1
+	joined := !isMember(l.view, self)
+	first := !l.adopted && view.Version <= 1
 	consecutive := view.Version == l.view.Version+1
-	l.view, l.self = view, self
+	l.view, l.self, l.adopted = view, self, true
 	l.homes.SetMembers(view.Members)
 	l.settled = now.Add(l.wait(first, joined))
 	m := seen
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -129,8 +129,10 @@
 		assert.Assert(t, !h.Valid())
 		h.Done(ResultNotWritten)
 	}
+	r.SetView(s, singleMember(), self) // An old member view does not bring the slots back.
 	_, err := r.Acquire(t.Context(), Request{Pool: testPool, Deadline: time.Now().Add(time.Millisecond)})
 	assert.Equal(t, reason(err), ShedDeadline)
+	assert.Equal(t, r.ledger.Version(), uint64(2))
 }
 
 // Guards against waiters that are served out of order, forgotten or never
