--- a/Makefile
+++ b/Makefile
@@ -34,10 +34,14 @@
 	$(GO) test -p 1 -run '^$$' -bench '^BenchmarkScale' -benchtime 200ms $(SCALE) >$(BENCH) || { cat $(BENCH); exit 1; }
 	$(BIN)/testbed fit --output docs/bench/capacity.md --plot docs/bench/capacity.svg --near-linear ControlStep $(BENCH)
 
-# Measures entry processes at four sizes with 3 and 9 members, one after the other; about 7 minutes.
+# Measures entry processes at four sizes, with 3 and with 9 members side by side; about 4 minutes.
 capacity: build
 	@mkdir -p docs/bench
-	for members in 3 9; do for workers in 49 500 1500 4100; do ./scripts/capacity.sh $$workers $$members || exit 1; done; done >docs/bench/live.txt
+	for workers in 49 500 1500 4100; do \
+		PORTS=7400 ./scripts/capacity.sh $$workers 3 >$(BIN)/live-$$workers-3.txt & \
+		PORTS=10000 ./scripts/capacity.sh $$workers 9 >$(BIN)/live-$$workers-9.txt && wait $$! || exit 1; \
+	done
+	cat $(BIN)/live-*-3.txt $(BIN)/live-*-9.txt >docs/bench/live.txt
 	$(BIN)/testbed fit --title "Live measurements" --command "make capacity" --output docs/bench/live.md docs/bench/live.txt
 
 proto:
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -11,7 +11,7 @@
 MEMBERS=$2
 IDLE=${IDLE:-15}
 CHANGES=${CHANGES:-15}
-PORTS=${PORTS:-24000}
+PORTS=${PORTS:-7400}
 SITE_NAME=scaled-$WORKERS
 source "$(dirname "$0")/lib.sh"
 trap stop_all EXIT
--- a/testbed/platform/bench_test.go
+++ b/testbed/platform/bench_test.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http/httptest"
-	"sync/atomic"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"peridotcrank.dev/eventlog/wire"
 	"peridotcrank.dev/fleet/fleettest"
 	"peridotcrank.dev/store"
 	"peridotcrank.dev/store/storetest"
@@ -19,28 +21,15 @@
 // countingListener counts the bytes of its connections in both directions.
 type countingListener struct {
 	net.Listener
-	n *atomic.Int64
+	bytes *wire.Counter
 }
 
 func (l countingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	return countingConn{c, l.n}, err
-}
-
-type countingConn struct {
-	net.Conn
-	n *atomic.Int64
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.n.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(p []byte) (int, error) {
-	c.n.Add(int64(len(p)))
-	return c.Conn.Write(p)
+	if err != nil {
+		return nil, err
+	}
+	return l.bytes.Conn(c), nil
 }
 
 // BenchmarkScaleRead reads the VM rows over HTTP: all of them, one changed row, and
@@ -58,21 +47,56 @@
 	}
 }
 
+// BenchmarkScaleVMList reads the VM list over HTTP: a list that has changed, and one that has not.
+func BenchmarkScaleVMList(b *testing.B) {
+	for _, kind := range []string{"changed", "unchanged"} {
+		for _, workers := range fleettest.ScaleWorkers {
+			b.Run(fmt.Sprintf("list=%s/workers=%d", kind, workers), func(b *testing.B) {
+				vms := slices.Collect(maps.Values(fleettest.Fleet(fleettest.Sized(workers)).VMs))
+				url, bytes := countingServer(b, platform.Options{VMs: vms})
+				p, err := store.NewHTTPPlatform(url, "a", 0)
+				assert.NilError(b, err)
+				measureRead(b, bytes, func() error {
+					if kind == "changed" { // A client without a list to compare with.
+						p, err = store.NewHTTPPlatform(url, "a", 0)
+						assert.NilError(b, err)
+					}
+					_, err := p.VMs(context.Background())
+					return err
+				})
+			})
+		}
+	}
+}
+
 func benchmarkRead(b *testing.B, table *storetest.Table, since store.Version) {
-	var bytes atomic.Int64
-	server := httptest.NewUnstartedServer(platform.New(platform.Options{Table: table}))
-	server.Listener = countingListener{server.Listener, &bytes}
-	server.Start()
-	defer server.Close()
-	c, err := store.New(server.URL, "a", store.Options{})
+	url, bytes := countingServer(b, platform.Options{Table: table})
+	c, err := store.New(url, "a", store.Options{})
 	assert.NilError(b, err)
+	measureRead(b, bytes, func() error {
+		_, err := c.Read(context.Background(), "vm/", since)
+		return err
+	})
+}
+
+// countingServer serves the stand-in and counts the bytes of its connections.
+func countingServer(b *testing.B, o platform.Options) (url string, bytes *wire.Counter) {
+	bytes = new(wire.Counter)
+	server := httptest.NewUnstartedServer(platform.New(o))
+	server.Listener = countingListener{server.Listener, bytes}
+	server.Start()
+	b.Cleanup(server.Close)
+	return server.URL, bytes
+}
+
+func measureRead(b *testing.B, bytes *wire.Counter, read func() error) {
+	assert.NilError(b, read())
 	b.ReportAllocs()
-	reads := 0
+	before, reads := bytes.Totals(), 0
 	for b.Loop() {
-		if _, err := c.Read(context.Background(), "vm/", since); err != nil {
-			b.Fatal(err)
-		}
+		assert.NilError(b, read())
 		reads++
 	}
-	b.ReportMetric(float64(bytes.Load())/float64(reads), "wire-B/op")
+	after := bytes.Totals()
+	b.ReportMetric(float64(after.Sent+after.Received-before.Sent-before.Received)/float64(reads), "wire-B/op")
 }
