--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -77,7 +77,7 @@
 
 start platform "$BIN/testbed" platform --workers "$WORKERS" --base-port "$BASE_PORT" --listen "$PLATFORM" --control "$CONTROL"
 wait_for 10 curl -fsS "http://$PLATFORM/v1/vms"
-for n in $(seq "$MEMBERS"); do start_entry "$n" "zone-$n"; done
+for n in $(seq "$MEMBERS"); do start_entry "$n" "zone-$(((n - 1) % 9 + 1))"; done
 for n in $(seq "$MEMBERS"); do wait_for 20 curl -s "http://$(admin_of "$n")/v1/members"; done
 wait_for 30 has_members
 write_services 1900ms >"$RUN/services.yaml"
--- a/store/platform.go
+++ b/store/platform.go
@@ -47,7 +47,7 @@
 type VMList struct {
 	VMs  []VMInfo  `json:"vms"`
 	AsOf time.Time `json:"-"` // Local time at which the read was sent.
-	// Unchanged is set when the list is that of the previous read.
+	// Unchanged is set, and VMs is empty, when the list is that of the previous read.
 	Unchanged bool `json:"-"`
 }
 
@@ -65,9 +65,8 @@
 	t       *HTTPTransport
 	timeout time.Duration
 
-	mu   sync.Mutex
-	last VMList // The last list that came with a tag.
-	tag  string
+	mu  sync.Mutex
+	tag string // Of the last list; empty when the platform sends none.
 }
 
 // NewHTTPPlatform returns a client of the VM list and of reboots. A timeout of 0
@@ -84,40 +83,24 @@
 // VMs implements Platform.
 func (p *HTTPPlatform) VMs(ctx context.Context) (VMList, error) {
 	p.t.counts.lists.Add(1)
-	asOf := time.Now()
-	last, tag := p.lastList()
-	header := http.Header{}
-	if tag != "" {
-		header.Set("If-None-Match", tag)
+	header, list := http.Header{}, VMList{AsOf: time.Now()}
+	p.mu.Lock()
+	if p.tag != "" {
+		header.Set("If-None-Match", p.tag)
 	}
-	list := VMList{AsOf: asOf}
+	p.mu.Unlock()
 	reply, err := p.call(ctx, "list VMs", http.MethodGet, "/v1/vms", header, nil, &list)
 	switch {
-	case reply.status == http.StatusNotModified && tag != "":
-		last.AsOf, last.Unchanged = asOf, true
-		return last, nil
+	case reply.status == http.StatusNotModified && len(header) > 0:
+		list.Unchanged = true
+		return list, nil
 	case err != nil:
 		return VMList{}, err
 	}
-	p.keepList(list, reply.tag)
-	return list, nil
-}
-
-// lastList returns the list that the platform is asked to compare with.
-func (p *HTTPPlatform) lastList() (VMList, string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.last, p.tag
-}
-
-// keepList keeps a list for later reads. A platform without tags costs no memory.
-func (p *HTTPPlatform) keepList(list VMList, tag string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.tag = tag; tag == "" {
-		list = VMList{}
-	}
-	p.last = list
+	p.tag = reply.tag
+	p.mu.Unlock()
+	return list, nil
 }
 
 // Reboot implements Platform.
--- a/testbed/platform/platform_test.go
+++ b/testbed/platform/platform_test.go
@@ -166,7 +166,9 @@
 			list, err := p.VMs(context.Background())
 			assert.NilError(t, err)
 			assert.Equal(t, list.Unchanged, unchanged)
-			assert.Equal(t, list.VMs[0].State, state)
+			if assert.Equal(t, len(list.VMs) == 0, unchanged); !unchanged {
+				assert.Equal(t, list.VMs[0].State, state)
+			}
 		}
 	}
 	assert.Equal(t, p.Traffic().Lists, uint64(4))
