--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -11,7 +11,7 @@
 MEMBERS=$2
 IDLE=${IDLE:-15}
 CHANGES=${CHANGES:-15}
-PORTS=${PORTS:-24000}
+PORTS=${PORTS:-7400}
 SITE_NAME=scaled-$WORKERS
 source "$(dirname "$0")/lib.sh"
 trap stop_all EXIT
@@ -77,7 +77,7 @@
 
 start platform "$BIN/testbed" platform --workers "$WORKERS" --base-port "$BASE_PORT" --listen "$PLATFORM" --control "$CONTROL"
 wait_for 10 curl -fsS "http://$PLATFORM/v1/vms"
-for n in $(seq "$MEMBERS"); do start_entry "$n" "zone-$n"; done
+for n in $(seq "$MEMBERS"); do start_entry "$n" "zone-$(((n - 1) % 9 + 1))"; done
 for n in $(seq "$MEMBERS"); do wait_for 20 curl -s "http://$(admin_of "$n")/v1/members"; done
 wait_for 30 has_members
 write_services 1900ms >"$RUN/services.yaml"
