Try further backend servers after refusals up to 16 instead of 4 times

A request was refused as not run after four backend servers had refused its connection. A process holds most of its slots in its own availability zone, where a pool has up to four backend servers: with the zone down, a request met all four before they were ejected. The design tries another backend server within the deadline. Attempts that ended before a byte was written now have their own bound of 16, which four ejections of three refusals do not reach. The bound on attempts with a written byte stays 4.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -39,6 +39,7 @@
 
 	// State of the attempts.
 	attempts    int
+	refusals    int      // Attempts that ended before a byte was written.
 	mayHaveRun  *refusal // Refusal for the first attempt that may have been run.
 	avoid       []routing.Target
 	reservation routing.Reservation // Nil between attempts.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -116,7 +116,7 @@
 		return ref
 	}
 	if exchange.ProgressOf(err) == exchange.NotWritten {
-		if c.attempts >= c.g.options.MaxAttempts || ctx.Err() != nil {
+		if c.refusals++; c.refusals >= c.g.options.MaxRefusals || ctx.Err() != nil {
 			return c.unavailable(err)
 		}
 		return nil
@@ -124,7 +124,7 @@
 	if c.mayHaveRun == nil {
 		c.mayHaveRun = broken(err)
 	}
-	if !c.idempotent || c.attempts >= c.g.options.MaxAttempts || ctx.Err() != nil || !c.route.budget.TryWithdraw() {
+	if !c.idempotent || c.attempts-c.refusals >= c.g.options.MaxAttempts || ctx.Err() != nil || !c.route.budget.TryWithdraw() {
 		return c.mayHaveRun
 	}
 	return nil
--- a/gateway/faults_test.go
+++ b/gateway/faults_test.go
@@ -132,3 +132,20 @@
 	assert.Equal(t, outcome(resp), OutcomeAnswered)
 	assert.Equal(t, up.count("/order"), 1)
 }
+
+// Guards against a request that is refused because all backend servers of an
+// availability zone refuse connections, although another one would answer.
+func TestRefusalsOfAZoneDoNotEndARequest(t *testing.T) {
+	var backends []*backend
+	for range 6 {
+		down := newBackend(t)
+		down.Close()
+		backends = append(backends, down)
+	}
+	up := newBackend(t)
+	s := newSite(t, nil, append(backends, up)...)
+	resp, _, err := send(t, "POST", s.url+"/order", "")
+	assert.NilError(t, err)
+	assert.Equal(t, outcome(resp), OutcomeAnswered)
+	assert.Equal(t, up.count("/order"), 1)
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -14,7 +14,10 @@
 
 // Defaults of Options and of services.
 const (
-	DefaultMaxAttempts      = 4
+	DefaultMaxAttempts = 4
+	// DefaultMaxRefusals lets a request outlast an availability zone whose four
+	// backend servers of a pool all refuse: each is ejected after three refusals.
+	DefaultMaxRefusals      = 16
 	DefaultMaxBufferedBytes = 64 << 20
 	DefaultSlowSenderLimit  = 5 * time.Second
 	DefaultSlowReaderLimit  = 10 * time.Second
@@ -58,8 +61,11 @@
 
 	// Retry configures the retry budget of each pool.
 	Retry retry.Options
-	// MaxAttempts bounds the exchanges started for one request. Default 4.
+	// MaxAttempts bounds the exchanges of one request in which a byte was written. Default 4.
 	MaxAttempts int
+	// MaxRefusals bounds the exchanges of one request that ended before a byte
+	// was written. Default 16.
+	MaxRefusals int
 	// MaxBufferedBytes bounds the request bodies held at once, in bytes. Answers
 	// that wait for slow readers count towards it. Default 64 MiB.
 	MaxBufferedBytes int64
@@ -77,6 +83,7 @@
 		required("Exchange", o.Exchange != nil),
 		required("Configuration", o.Configuration != nil),
 		notNegative("MaxAttempts", o.MaxAttempts),
+		notNegative("MaxRefusals", o.MaxRefusals),
 		notNegative("MaxBufferedBytes", o.MaxBufferedBytes),
 		notNegative("SlowSenderLimit", o.SlowSenderLimit),
 		notNegative("SlowReaderLimit", o.SlowReaderLimit),
@@ -86,6 +93,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&o.MaxRefusals, DefaultMaxRefusals)
 	setDefault(&o.MaxBufferedBytes, DefaultMaxBufferedBytes)
 	setDefault(&o.SlowSenderLimit, DefaultSlowSenderLimit)
 	setDefault(&o.SlowReaderLimit, DefaultSlowReaderLimit)
