--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -2,7 +2,7 @@
 # A process of the product starts no other process; these scripts do.
 
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
-BIN="$ROOT/bin"
+BIN=${BIN:-$ROOT/bin}
 RUN=${RUN:-$(mktemp -d)}
 # Processes that start began: NAME:PID.
 STARTED=()
--- a/testbed/verify/faults_test.go
+++ b/testbed/verify/faults_test.go
@@ -110,6 +110,8 @@
 		r.CheckShare(runs(failing), []string{"vm-0"}, Window{100, 200})
 		assert.Equal(t, len(r.Findings), want, "%d of 900", failing)
 	}
+	before, within := Shares(runs(250), []string{"vm-0"}, Window{100, 200})
+	assert.Equal(t, fmt.Sprintf("%.3f %.3f", before, within), "0.111 0.278")
 	var empty Result
 	empty.CheckShare(nil, []string{"vm-0"}, Window{100, 200})
 	assert.Equal(t, len(empty.Findings), 1)
--- a/testbed/verify/share.go
+++ b/testbed/verify/share.go
@@ -16,8 +16,45 @@
 // requests within the window than before it. Servers that fail fast must not
 // attract traffic because they look idle.
 func (r *Result) CheckShare(runs []backend.Run, failing []string, w Window) {
-	type counts struct{ all, failing float64 }
-	before, within := make(map[string]*counts), make(map[string]*counts)
+	before, within := countShares(runs, failing, w)
+	if len(before) == 0 || len(within) == 0 {
+		r.add("failing servers attract no traffic", "no requests before or within the window to compare")
+	}
+	for service, now := range within {
+		was := before[service]
+		if was == nil {
+			continue
+		}
+		share, baseline := now.share(), was.share()
+		pooled := (now.failing + was.failing) / (now.all + was.all)
+		deviation := math.Sqrt(pooled * (1 - pooled) * (1/now.all + 1/was.all))
+		if share > baseline+shareDeviations*deviation {
+			r.add("failing servers attract no traffic", "%s: share of failing VMs %.3f, before the fault %.3f", service, share, baseline)
+		}
+	}
+}
+
+// Shares returns the share of failing VMs of all requests, before the window and within it.
+func Shares(runs []backend.Run, failing []string, w Window) (before, within float64) {
+	var sums [2]counts
+	earlier, later := countShares(runs, failing, w)
+	for i, services := range []map[string]*counts{earlier, later} {
+		for _, c := range services {
+			sums[i].all += c.all
+			sums[i].failing += c.failing
+		}
+	}
+	return sums[0].share(), sums[1].share()
+}
+
+// counts holds the requests of a service and those that failing VMs received.
+type counts struct{ all, failing float64 }
+
+func (c counts) share() float64 { return c.failing / max(1, c.all) }
+
+// countShares counts requests by service, before the window and within it.
+func countShares(runs []backend.Run, failing []string, w Window) (before, within map[string]*counts) {
+	before, within = make(map[string]*counts), make(map[string]*counts)
 	for _, run := range runs {
 		into := before
 		switch {
@@ -34,19 +71,5 @@
 			into[run.Service].failing++
 		}
 	}
-	if len(before) == 0 || len(within) == 0 {
-		r.add("failing servers attract no traffic", "no requests before or within the window to compare")
-	}
-	for service, now := range within {
-		was := before[service]
-		if was == nil {
-			continue
-		}
-		share, baseline := now.failing/now.all, was.failing/was.all
-		pooled := (now.failing + was.failing) / (now.all + was.all)
-		deviation := math.Sqrt(pooled * (1 - pooled) * (1/now.all + 1/was.all))
-		if share > baseline+shareDeviations*deviation {
-			r.add("failing servers attract no traffic", "%s: share of failing VMs %.3f, before the fault %.3f", service, share, baseline)
-		}
-	}
+	return before, within
 }
--- a/testbed/verify_command.go
+++ b/testbed/verify_command.go
@@ -53,6 +53,10 @@
 	if c.Summary {
 		printSummary(verify.Summarize(&report, c.Timeout), len(report.Records))
 	}
+	if c.Summary && len(c.Failing) > 0 {
+		before, within := verify.Shares(runs, c.Failing, c.failingWindow())
+		fmt.Printf("share of failing VMs: %.3f, before the fault %.3f\n", within, before)
+	}
 	for _, finding := range result.Findings {
 		fmt.Printf("BROKEN: %s: %s\n", finding.Guarantee, finding.Detail)
 	}
@@ -78,12 +82,16 @@
 		result.CheckEntrySilent(report, runs, s)
 	}
 	if len(c.Failing) > 0 {
-		ms := time.Millisecond.Microseconds()
-		result.CheckShare(runs, c.Failing, verify.Window{From: c.FailingFrom * ms, To: c.FailingTo * ms})
+		result.CheckShare(runs, c.Failing, c.failingWindow())
 	}
 	return result
 }
 
+func (c *verifyCommand) failingWindow() verify.Window {
+	ms := time.Millisecond.Microseconds()
+	return verify.Window{From: c.FailingFrom * ms, To: c.FailingTo * ms}
+}
+
 // printSummary writes one line per kind of figure; scripts read them by their first words.
 func printSummary(s verify.Summary, requests int) {
 	var outcomes []string
--- a/testbed/watch/watch_test.go
+++ b/testbed/watch/watch_test.go
@@ -33,29 +33,34 @@
 
 // Guards against a fault injected at another step than the one that a case names.
 func TestFindWaitsForThePhase(t *testing.T) {
-	rows := func(phase fleet.Phase, reserved fleet.PlanID, driver fleet.MemberID) []store.Row {
+	rows := func(vm fleet.VM, driver fleet.MemberID) []store.Row {
+		vm.ID = "vm-1"
 		return []store.Row{
 			row(t, fleet.PlanKey("p"), fleet.Plan{ID: "p", Driver: driver}),
-			row(t, fleet.VMKey("vm-1"), fleet.VM{ID: "vm-1", Phase: phase, Plan: reserved}),
-			row(t, fleet.VMKey("vm-2"), fleet.VM{ID: "vm-2", Phase: fleet.PhaseProbed, Plan: "other"}),
+			row(t, fleet.VMKey("vm-1"), vm),
+			row(t, fleet.VMKey("vm-2"), fleet.VM{ID: "vm-2", Phase: fleet.PhaseMoved, Plan: "other"}),
 		}
 	}
-	for _, c := range []struct {
-		rows []store.Row
-		want bool
+	moved := fleet.VM{Phase: fleet.PhaseMoved, Plan: "p"}
+	rebooting := fleet.VM{Phase: fleet.PhaseMoved, Plan: "p", Operation: "o"}
+	for name, c := range map[string]struct {
+		rows         []store.Row
+		exact, later bool
 	}{
-		{rows(fleet.PhaseDrained, "p", "entry-1"), true},
-		{rows(fleet.PhaseMoved, "p", "entry-1"), true},
-		{rows(fleet.PhaseDraining, "p", "entry-1"), false},
-		{rows(fleet.PhaseDrained, "", "entry-1"), false},
-		{rows(fleet.PhaseDrained, "p", ""), false},
+		"in the phase":      {rows(moved, "entry-1"), true, true},
+		"in a later phase":  {rows(rebooting, "entry-1"), false, true},
+		"in a former phase": {rows(fleet.VM{Phase: fleet.PhaseDrained, Plan: "p"}, "entry-1"), false, false},
+		"in no plan":        {rows(fleet.VM{Phase: fleet.PhaseMoved}, "entry-1"), false, false},
+		"without a driver":  {rows(moved, ""), false, false},
 	} {
-		move, found, err := Find(c.rows, "p", fleet.PhaseDrained)
-		assert.NilError(t, err)
-		assert.Equal(t, found, c.want)
-		if found {
-			assert.Equal(t, move.Driver, fleet.MemberID("entry-1"))
-			assert.Equal(t, move.VM.ID, fleet.VMID("vm-1"))
+		for later, want := range map[bool]bool{false: c.exact, true: c.later} {
+			moves, err := Find(c.rows, Wanted{Plan: "p", Phase: fleet.PhaseMoved, Later: later})
+			assert.NilError(t, err)
+			assert.Equal(t, len(moves) == 1, want, "%s: %v", name, moves)
+			for _, move := range moves {
+				assert.Equal(t, move.Driver, fleet.MemberID("entry-1"))
+				assert.Equal(t, move.VM.ID, fleet.VMID("vm-1"))
+			}
 		}
 	}
 }
--- a/testbed/watch_command.go
+++ b/testbed/watch_command.go
@@ -75,23 +75,31 @@
 
 type phaseCommand struct {
 	Platform string        `long:"platform" default:"127.0.0.1:20001" description:"IP:port of the platform"`
-	Plan     string        `long:"plan" required:"true" description:"plan that moves a VM"`
-	Phase    string        `long:"phase" required:"true" description:"phase to wait for; serving is a reserved VM before its move"`
+	Plan     string        `long:"plan" required:"true" description:"plan that moves VMs"`
+	Phase    string        `long:"phase" required:"true" description:"phase to wait for; serving is a reserved VM before its move, rebooting a part of moved"`
+	All      bool          `long:"all" description:"report every VM of the plan in this or a later phase, until SIGTERM or the timeout"`
 	Timeout  time.Duration `long:"timeout" default:"10s" description:"longest time to wait"`
 }
 
-// Execute waits for a phase and prints VM, phase and driver.
+// Execute waits for a phase and prints VM, phase, driver and the time in ms since the Unix epoch.
 func (c *phaseCommand) Execute([]string) error {
 	table, err := store.New("http://"+c.Platform, watcherName, store.Options{})
 	if err != nil {
 		return fmt.Errorf("client of the table service: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	move, err := watch.AwaitPhase(ctx, table, fleet.PlanID(c.Plan), fleet.Phase(c.Phase))
-	if err != nil {
-		return err
+	found := false
+	wanted := watch.Wanted{Plan: fleet.PlanID(c.Plan), Phase: fleet.Phase(c.Phase), Later: c.All}
+	err = watch.Phases(ctx, table, wanted, func(m watch.Move) bool {
+		found = true
+		fmt.Println(m.VM.ID, m.Phase(), m.Driver, time.Now().UnixMilli())
+		return c.All
+	})
+	if err == nil && !found {
+		err = fmt.Errorf("no VM of plan %s reached phase %s", c.Plan, c.Phase)
 	}
-	fmt.Println(move.VM.ID, move.VM.Phase, move.Driver)
-	return nil
+	return err
 }
