Borrow slots of other zones when the chosen backend server is suspect

A process holds slots mostly in its own availability zone. When all servers of a pool in that zone failed fast, the process went on sending to them: it had no slot elsewhere, did not borrow because slots were free, and the comparison with the other servers it had tried showed no outlier. It now asks a peer for a slot whenever it has to choose a suspect server while the pool has others. Requests for slots stay limited to one in progress for each pool, and none is sent when all servers are suspect or ejected.

--- a/routing/acquire.go
+++ b/routing/acquire.go
@@ -63,6 +63,9 @@
 	}
 	if p.queue.Len() == 0 {
 		if b := p.pick(now, q.Avoid, r.random.Uint64()); b != nil {
+			if b.health.suspect(now) && p.hasSound(now) {
+				r.ask(now, p) // All slots held here may be on servers of one failing zone.
+			}
 			return r.reserve(now, p, b, q.Service), nil, nil
 		}
 	}
--- a/routing/flow_test.go
+++ b/routing/flow_test.go
@@ -278,3 +278,31 @@
 		}
 	}
 }
+
+// Guards against a process that goes on sending to a failing availability zone
+// because all slots that it holds are on servers of that zone.
+func TestFailingZoneLosesItsTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := snapshot(12)
+		bad := map[fleet.VMID]bool{}
+		for id, vm := range s.VMs {
+			bad[id] = vm.Zone == "a"
+		}
+		m, _ := newMesh(s, 3)
+		time.Sleep(10 * time.Second) // All slots are usable at their homes.
+		m.heartbeat()
+		onBad := 0
+		for range 300 {
+			h := acquire(t, m["entry-0"], Request{})
+			time.Sleep(10 * time.Millisecond)
+			if bad[h.Target().VM] {
+				onBad++
+				h.Done(ResultServerError)
+				continue
+			}
+			h.Done(ResultAnswered)
+		}
+		assert.Check(t, onBad < 60, "%d of 300 requests", onBad)
+		time.Sleep(time.Second) // Requests for slots in progress end.
+	})
+}
--- a/routing/health.go
+++ b/routing/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -103,6 +104,14 @@
 	}
 }
 
+// hasSound reports whether a backend server of the pool is neither ejected nor
+// suspect. This process may hold no slot of it.
+func (p *pool) hasSound(now time.Time) bool {
+	return slices.ContainsFunc(p.backends, func(b *backend) bool {
+		return !b.health.ejected(now) && !b.health.suspect(now)
+	})
+}
+
 // meanRate returns the mean error rate of the other backend servers that have
 // been tried. Their rates are corrected for the start at 0, so that a fault
 // that all share shows after the first attempts on each.
