--- a/scripts/matrix_cases.sh
+++ b/scripts/matrix_cases.sh
@@ -255,6 +255,8 @@
   arguments+=(--failing-from "$from" --failing-to "$to")
   # Section 8: a request to a server that refuses is tried on another one. Those
   # in progress when the servers went down are not covered.
+  # Section 8: a server that answers fast with errors is ejected.
+  [ "$1" = error ] && arguments+=(--ejected)
   [ "$1" = down ] && arguments+=(--answered-from $((from + 1000)))
   end_load "${arguments[@]}"
   note "$(wc -w <<<"$vms") VMs; share of failing VMs $(figure 'share of failing VMs'); in doubt $(figure 'in doubt')"
--- a/testbed/verify/faults_test.go
+++ b/testbed/verify/faults_test.go
@@ -110,6 +110,11 @@
 		r.CheckShare(runs(failing), []string{"vm-0"}, Window{100, 200})
 		assert.Equal(t, len(r.Findings), want, "%d of 900", failing)
 	}
+	for failing, want := range map[int]int{0: 0, 50: 0, 51: 1, 100: 1} {
+		var r Result
+		r.CheckEjected(runs(failing), []string{"vm-0"}, Window{100, 200})
+		assert.Equal(t, len(r.Findings), want, "%d of 900", failing)
+	}
 	before, within := Shares(runs(250), []string{"vm-0"}, Window{100, 200})
 	assert.Equal(t, fmt.Sprintf("%.3f %.3f", before, within), "0.111 0.278")
 	var empty Result
--- a/testbed/verify/share.go
+++ b/testbed/verify/share.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// CheckEjected reports failing VMs that still receive more than half of their
+// former share of all requests in the second half of the window. Ejected
+// servers receive single requests between two ejections.
+func (r *Result) CheckEjected(runs []backend.Run, failing []string, w Window) {
+	before, _ := Shares(runs, failing, w)
+	_, late := Shares(runs, failing, Window{From: w.From + (w.To-w.From)/2, To: w.To})
+	if before == 0 || late > before/2 {
+		r.add("failing servers are ejected", "share of failing VMs %.3f in the second half of the fault, before it %.3f", late, before)
+	}
+}
+
 // Shares returns the share of failing VMs of all requests, before the window and within it.
 func Shares(runs []backend.Run, failing []string, w Window) (before, within float64) {
 	var sums [2]counts
--- a/testbed/verify_command.go
+++ b/testbed/verify_command.go
@@ -26,6 +26,7 @@
 	Failing     []string         `long:"failing-vm" value-name:"VM" description:"failing VM that must attract no traffic; repeat for more"`
 	FailingFrom int64            `long:"failing-from" value-name:"MS" description:"time from which the failing VMs fail, in ms since the Unix epoch"`
 	FailingTo   int64            `long:"failing-to" value-name:"MS" description:"time until which they fail"`
+	Ejected     bool             `long:"ejected" description:"the failing VMs must have been ejected by half of their time"`
 	Timeout     time.Duration    `long:"timeout" default:"2s" description:"timeout of the services; later answers count as late"`
 	Summary     bool             `long:"summary" description:"print what callers saw"`
 }
@@ -83,6 +84,9 @@
 	}
 	if len(c.Failing) > 0 {
 		result.CheckShare(runs, c.Failing, c.failingWindow())
+		if c.Ejected {
+			result.CheckEjected(runs, c.Failing, c.failingWindow())
+		}
 	}
 	return result
 }
