--- a/scripts/bench_path.sh
+++ b/scripts/bench_path.sh
@@ -2,7 +2,7 @@
 # Measures an entry process with all guarantees on against the backend server
 # itself and against httputil.ReverseProxy, in one run, and prints a Markdown table.
 set -euo pipefail
-export PORTS=${PORTS:-50000}
+export PORTS=${PORTS:-14000}
 SITE_NAME=wa-south
 source "$(dirname "$0")/lib.sh"
 trap stop_all EXIT
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -11,6 +11,11 @@
 
 # PORTS is the first of the ports in use, of which there are 2,400.
 PORTS=${PORTS:-20000}
+if [ $((PORTS + 2400)) -gt 32767 ]; then
+  # From 32768 on, the system gives ports to outgoing connections.
+  echo "PORTS=$PORTS is too high: the last port must be below 32768" >&2
+  exit 2
+fi
 PLATFORM=127.0.0.1:$((PORTS + 1))
 CONTROL=127.0.0.1:$((PORTS + 2))
 BASE_PORT=$((PORTS + 1000))
