Keep the peer of a slot by pointer

Each of the 8 slots of a worker held a whole member of 72 bytes, which is set only while the slot is lent or borrowed: half of the router's state.

BenchmarkScaleViewAll/workers=4100, heap-B before and after: 8863528 and 6764344.

--- a/limits/slots/ledger.go
+++ b/limits/slots/ledger.go
@@ -197,7 +197,7 @@
 	mine := l.homes.owned(w.id, l.self.ID)
 	each(w.mine&^mine, func(i int) { l.lose(w, i, lapsed) })
 	each(w.borrowed, func(i int) {
-		if home, _ := l.homes.Home(Slot{w.id, i}); lapsed || home != w.slots[i].peer {
+		if home, _ := l.homes.Home(Slot{w.id, i}); lapsed || home != *w.slots[i].peer {
 			l.drop(w, i)
 		}
 	})
--- a/limits/slots/loans.go
+++ b/limits/slots/loans.go
@@ -36,7 +36,7 @@
 func (l *Ledger) lend(now time.Time, w *Worker, borrower fleet.Member) Slot {
 	index := bits.TrailingZeros64(w.Idle())
 	w.lent |= 1 << index
-	w.slots[index].peer = borrower
+	w.slots[index].peer = &borrower
 	l.arm(w, index, now.Add(l.options.Lease+l.options.InFlight))
 	return Slot{w.id, index}
 }
@@ -56,7 +56,7 @@
 			continue
 		}
 		w.borrowed |= 1 << s.Index
-		w.slots[s.Index].peer = home
+		w.slots[s.Index].peer = &home
 		w.slots[s.Index].leased = end
 		l.arm(w, s.Index, end)
 		accepted++
--- a/limits/slots/worker.go
+++ b/limits/slots/worker.go
@@ -33,8 +33,9 @@
 	// until is the end of the wait, of the loan with its in-flight time, or of
 	// the lease, depending on the flag that is set.
 	until time.Time
-	// peer is the borrower or the lender.
-	peer fleet.Member
+	// peer is the borrower or the lender; nil while the slot was neither lent nor
+	// borrowed. A member takes 72 bytes, and most slots have no peer.
+	peer *fleet.Member
 	// leased is the end of the latest lease from the peer.
 	leased time.Time
 	// gained is the version of the view with which the slot became mine.
