Count messages between entry processes by traffic class

Control messages and claims had one counter, so that the heartbeats could not be told from the claims of requests under load. The bytes received of claims were counted as control traffic by the node that accepted the session: the reader kept the counters of the class that it had before Hello.

--- a/eventlog/metrics/metrics_test.go
+++ b/eventlog/metrics/metrics_test.go
@@ -37,7 +37,9 @@
 	assert.NilError(t, m.ObserveTraffic(func() ControlTraffic {
 		return ControlTraffic{
 			Peers: wire.Totals{Sent: 1, Received: 2}, Platform: wire.Totals{Sent: 3, Received: 4},
-			PeerSent: 5, PeerReceived: 6, StoreReads: 7, StoreWrites: 8, VMLists: 9,
+			Control:    ClassTraffic{Messages: wire.Totals{Sent: 5, Received: 6}, Bytes: wire.Totals{Sent: 10, Received: 11}},
+			Claims:     ClassTraffic{Messages: wire.Totals{Sent: 12, Received: 13}, Bytes: wire.Totals{Sent: 14, Received: 15}},
+			StoreReads: 7, StoreWrites: 8, VMLists: 9,
 		}
 	}))
 	return m
--- a/eventlog/metrics/traffic.go
+++ b/eventlog/metrics/traffic.go
@@ -14,41 +14,51 @@
 // since its start.
 type ControlTraffic struct {
 	Peers, Platform         wire.Totals
-	PeerSent, PeerReceived  uint64 // Messages.
+	Control, Claims         ClassTraffic
 	StoreReads, StoreWrites uint64 // Requests to the table service.
 	VMLists                 uint64 // Reads of the VM list.
 }
 
+// ClassTraffic is what a process has exchanged with peers in one traffic class.
+// Bytes are those of the messages and their envelopes, without yamux.
+type ClassTraffic struct {
+	Messages, Bytes wire.Totals
+}
+
 // ObserveTraffic reads the counts whenever metrics are collected. Call it once.
 func (m *Metrics) ObserveTraffic(read func() ControlTraffic) error {
 	meter := m.provider.Meter(meterName)
 	bytes, err1 := meter.Int64ObservableCounter("control.bytes", metric.WithUnit("By"),
 		metric.WithDescription("Bytes of the connections to peers and to the platform, by other side and direction."))
 	messages, err2 := meter.Int64ObservableCounter("control.messages",
-		metric.WithDescription("Messages between entry processes by direction."))
+		metric.WithDescription("Messages between entry processes by traffic class and direction."))
+	messageBytes, err4 := meter.Int64ObservableCounter("control.message.bytes", metric.WithUnit("By"),
+		metric.WithDescription("Bytes of the messages between entry processes by traffic class and direction."))
 	requests, err3 := meter.Int64ObservableCounter("platform.requests",
 		metric.WithDescription("Requests to the platform by operation."))
-	if err := errors.Join(err1, err2, err3); err != nil {
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
 		return err
 	}
 	observe := func(_ context.Context, o metric.Observer) error {
 		t := read()
-		observeBytes(o, bytes, "peers", t.Peers)
-		observeBytes(o, bytes, "platform", t.Platform)
-		o.ObserveInt64(messages, int64(t.PeerSent), labels("direction", "sent"))
-		o.ObserveInt64(messages, int64(t.PeerReceived), labels("direction", "received"))
+		observeTotals(o, bytes, "side", "peers", t.Peers)
+		observeTotals(o, bytes, "side", "platform", t.Platform)
+		observeTotals(o, messages, "class", "control", t.Control.Messages)
+		observeTotals(o, messages, "class", "claims", t.Claims.Messages)
+		observeTotals(o, messageBytes, "class", "control", t.Control.Bytes)
+		observeTotals(o, messageBytes, "class", "claims", t.Claims.Bytes)
 		o.ObserveInt64(requests, int64(t.StoreReads), labels("operation", "read"))
 		o.ObserveInt64(requests, int64(t.StoreWrites), labels("operation", "write"))
 		o.ObserveInt64(requests, int64(t.VMLists), labels("operation", "list-vms"))
 		return nil
 	}
-	_, err := meter.RegisterCallback(observe, bytes, messages, requests)
+	_, err := meter.RegisterCallback(observe, bytes, messages, messageBytes, requests)
 	return err
 }
 
-func observeBytes(o metric.Observer, counter metric.Int64Observable, side string, t wire.Totals) {
-	o.ObserveInt64(counter, int64(t.Sent), labels("side", side, "direction", "sent"))
-	o.ObserveInt64(counter, int64(t.Received), labels("side", side, "direction", "received"))
+func observeTotals(o metric.Observer, counter metric.Int64Observable, label, value string, t wire.Totals) {
+	o.ObserveInt64(counter, int64(t.Sent), labels(label, value, "direction", "sent"))
+	o.ObserveInt64(counter, int64(t.Received), labels(label, value, "direction", "received"))
 }
 
 // labels builds a label set from names and values in turn.
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -22,11 +22,9 @@
 }
 
 func newFrameReader(r io.Reader, maxFrame int, counts *classCounters) *frameReader {
-	return &frameReader{
-		buffered: bufio.NewReaderSize(&countingReader{r, counts}, bufferSize),
-		options:  protodelim.UnmarshalOptions{MaxSize: int64(maxFrame)},
-		counts:   counts,
-	}
+	reader := &frameReader{options: protodelim.UnmarshalOptions{MaxSize: int64(maxFrame)}, counts: counts}
+	reader.buffered = bufio.NewReaderSize(&countingReader{r, reader}, bufferSize)
+	return reader
 }
 
 func (r *frameReader) read() (*peerpb.Envelope, error) {
@@ -38,15 +36,16 @@
 	return envelope, nil
 }
 
-// countingReader counts the bytes read into the buffer.
+// countingReader counts the bytes read into the buffer of a frameReader, whose
+// class is known only after Hello.
 type countingReader struct {
 	io.Reader
-	counts *classCounters
+	owner *frameReader
 }
 
 func (r *countingReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
-	r.counts.bytesReceived.Add(uint64(n))
+	r.owner.counts.bytesReceived.Add(uint64(n))
 	return n, err
 }
 
--- /dev/null
+++ b/peer/stats_test.go
@@ -0,0 +1,23 @@
+package peer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/peer/peerpb"
+)
+
+// Guards against bytes of claims that the receiver counts as control traffic,
+// and against sessions whose bytes are not counted.
+func TestBytesAreCountedByClass(t *testing.T) {
+	a, b := pair(t, nil)
+	before := b.Stats()
+	_, err := Ask[*peerpb.ClaimReply](testContext(t), a, "b", ClassClaims, &peerpb.Claim{Key: string(make([]byte, 1000))})
+	assert.NilError(t, err)
+	after := b.Stats()
+	assert.Assert(t, after.Claims.BytesReceived-before.Claims.BytesReceived > 1000)
+	assert.Assert(t, after.Control.BytesReceived-before.Control.BytesReceived < 1000)
+	assert.Assert(t, after.Wire.Received > after.Claims.BytesReceived+after.Control.BytesReceived)
+	assert.Assert(t, a.Stats().Wire.Sent > 1000)
+}
--- a/peridotcrank/entry/observe.go
+++ b/peridotcrank/entry/observe.go
@@ -8,8 +8,10 @@
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/eventlog/metrics"
+	"peridotcrank.dev/eventlog/wire"
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/gateway"
+	"peridotcrank.dev/peer"
 	"peridotcrank.dev/routing"
 	"peridotcrank.dev/settings"
 )
@@ -65,9 +67,15 @@
 	platform := p.table.Traffic().Plus(p.platform.Traffic())
 	return metrics.ControlTraffic{
 		Peers: peers.Wire, Platform: platform.Totals,
-		PeerSent:     peers.Control.MessagesSent + peers.Claims.MessagesSent,
-		PeerReceived: peers.Control.MessagesReceived + peers.Claims.MessagesReceived,
-		StoreReads:   platform.Reads, StoreWrites: platform.Writes, VMLists: platform.Lists,
+		Control: classTraffic(peers.Control), Claims: classTraffic(peers.Claims),
+		StoreReads: platform.Reads, StoreWrites: platform.Writes, VMLists: platform.Lists,
+	}
+}
+
+func classTraffic(c peer.ClassStats) metrics.ClassTraffic {
+	return metrics.ClassTraffic{
+		Messages: wire.Totals{Sent: c.MessagesSent, Received: c.MessagesReceived},
+		Bytes:    wire.Totals{Sent: c.BytesSent, Received: c.BytesReceived},
 	}
 }
 
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -61,7 +61,7 @@
       printf " %.0f peer-received-B/s", rate(b "{direction=\"received\",side=\"peers\"}")
       printf " %.0f platform-sent-B/s", rate(b "{direction=\"sent\",side=\"platform\"}")
       printf " %.0f platform-received-B/s", rate(b "{direction=\"received\",side=\"platform\"}")
-      printf " %.2f messages/s", rate("peridotcrank_control_messages_total{direction=\"sent\"}")
+      printf " %.2f messages/s", rate("peridotcrank_control_messages_total{class=\"control\",direction=\"sent\"}")
       printf " %.2f reads/s", rate("peridotcrank_platform_requests_total{operation=\"read\"}")
       printf " %.2f writes/s", rate("peridotcrank_platform_requests_total{operation=\"write\"}")
       printf " %.2f lists/s%s\n", rate("peridotcrank_platform_requests_total{operation=\"list-vms\"}"), extra
