--- a/limits/slots/ledger.go
+++ b/limits/slots/ledger.go
@@ -195,7 +195,7 @@
 	mine := l.homes.owned(w.id, l.self.ID)
 	each(w.mine&^mine, func(i int) { l.lose(w, i, m) })
 	each(w.borrowed, func(i int) {
-		if home, _ := l.homes.Home(Slot{w.id, i}); m == lapsed || home != w.slots[i].peer {
+		if home, _ := l.homes.Home(Slot{w.id, i}); m == lapsed || home != *w.slots[i].peer {
 			l.drop(w, i)
 		}
 	})
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -119,7 +119,7 @@
 }
 
 func (p *Process) buildTraffic() (err error) {
-	p.router = routing.New(routing.Options{Peers: peering.New(p.node)})
+	p.router = routing.New(routing.Options{Peers: peering.New(p.node), Notify: p.recordRouting})
 	peering.ServeSlots(p.node, p.router)
 	if err := p.metrics.ObserveTraffic(p.controlTraffic); err != nil {
 		return err
--- a/peridotcrank/entry/watch.go
+++ b/peridotcrank/entry/watch.go
@@ -20,7 +20,7 @@
 type watcher struct {
 	process *Process
 	claims  claims.Stats
-	pools   map[fleet.PoolID]routing.PoolStats
+	pools   map[fleet.PoolID]routing.PoolStatus
 	plans   map[fleet.PlanID]fleet.Plan
 	leaving map[fleet.VMID]bool
 	ready   bool
@@ -33,7 +33,7 @@
 
 func newWatcher(p *Process) *watcher {
 	return &watcher{
-		process: p, pools: make(map[fleet.PoolID]routing.PoolStats), plans: make(map[fleet.PlanID]fleet.Plan),
+		process: p, pools: make(map[fleet.PoolID]routing.PoolStatus), plans: make(map[fleet.PlanID]fleet.Plan),
 		leaving: make(map[fleet.VMID]bool),
 	}
 }
@@ -56,7 +56,7 @@
 	w.gauges()
 	w.readiness()
 	w.claimEvents(w.process.claims.Stats())
-	w.poolEvents(w.process.router.Stats())
+	w.poolEvents(w.process.router.Status())
 	state := w.process.controller.State()
 	w.planEvents(state.Fleet)
 	w.leavingEvents(state.Fleet)
@@ -143,52 +143,50 @@
 	}
 }
 
-func (w *watcher) poolEvents(now map[fleet.PoolID]routing.PoolStats) {
-	for id, stats := range now {
-		w.process.metrics.Queue(id).Set(int64(stats.Waiting))
-		w.poolChange(id, w.pools[id], stats)
+func (w *watcher) poolEvents(now []routing.PoolStatus) {
+	pools := make(map[fleet.PoolID]routing.PoolStatus, len(now))
+	for _, status := range now {
+		w.process.metrics.Queue(status.Pool).Set(int64(status.Waiting))
+		w.poolChange(w.pools[status.Pool], status)
+		pools[status.Pool] = status
 	}
-	w.pools = now
+	w.pools = pools
 }
 
-func (w *watcher) poolChange(id fleet.PoolID, before, now routing.PoolStats) {
-	for _, vm := range missing(now.Ejected, before.Ejected) {
-		w.record(eventlog.BackendEjected, eventlog.Fields{"pool": id, "vm": vm})
-	}
-	for _, vm := range missing(before.Ejected, now.Ejected) {
-		w.record(eventlog.BackendReturned, eventlog.Fields{"pool": id, "vm": vm})
-	}
-	if now.EjectionLimit && !before.EjectionLimit {
-		w.record(eventlog.EjectionLimit, eventlog.Fields{"pool": id, "ejected": len(now.Ejected)})
-	}
-	if now.Spilled != before.Spilled {
-		code := eventlog.SpillEnded
-		if now.Spilled {
-			code = eventlog.SpillStarted
-		}
-		w.record(code, eventlog.Fields{"pool": id})
+func (w *watcher) poolChange(before, now routing.PoolStatus) {
+	if atEjectionLimit(now) && !atEjectionLimit(before) {
+		w.record(eventlog.EjectionLimit, eventlog.Fields{"pool": now.Pool, "ejected": now.Ejected})
 	}
 	if now.Borrowed > 0 && before.Borrowed == 0 {
-		w.record(eventlog.SlotsBorrowed, eventlog.Fields{"pool": id, "slots": now.Borrowed})
+		w.record(eventlog.SlotsBorrowed, eventlog.Fields{"pool": now.Pool, "slots": now.Borrowed})
 	}
-	if now.Routable == 0 && before.Routable > 0 {
-		w.record(eventlog.PoolWithoutBackends, eventlog.Fields{"pool": id})
+	if now.Backends == 0 && before.Backends > 0 {
+		w.record(eventlog.PoolWithoutBackends, eventlog.Fields{"pool": now.Pool})
 	}
 }
 
-// missing returns the members of a that b does not hold.
-func missing(a, b []fleet.VMID) []fleet.VMID {
-	held := make(map[fleet.VMID]bool, len(b))
-	for _, id := range b {
-		held[id] = true
+// atEjectionLimit reports that one more ejection would take more than half of the pool.
+func atEjectionLimit(s routing.PoolStatus) bool {
+	return s.Ejected > 0 && 2*(s.Ejected+1) > s.Backends
+}
+
+var routingCodes = map[routing.EventKind]eventlog.Code{
+	routing.EventEjected:  eventlog.BackendEjected,
+	routing.EventRestored: eventlog.BackendReturned,
+	routing.EventSpill:    eventlog.SpillStarted,
+	routing.EventLocal:    eventlog.SpillEnded,
+}
+
+// recordRouting records a decision of the router.
+func (p *Process) recordRouting(e routing.Event) {
+	fields := eventlog.Fields{"pool": e.Pool}
+	if e.VM != "" {
+		fields["vm"] = e.VM
 	}
-	var list []fleet.VMID
-	for _, id := range a {
-		if !held[id] {
-			list = append(list, id)
-		}
+	if e.Kind == routing.EventEjected {
+		fields["refusals"], fields["error_rate"], fields["until"] = e.Refusals, e.Rate, e.Until
 	}
-	return list
+	p.log.Record(routingCodes[e.Kind], fields)
 }
 
 // planEvents records the end of plans that this process drove.
--- a/routing/status.go
+++ b/routing/status.go
@@ -49,3 +49,14 @@
 	slices.SortFunc(all, func(a, b PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
 	return all
 }
+
+// UsableSlots returns the number of slots that requests of this process may
+// hold, busy or not. It is 0 after a start until former users of the home slots
+// must have ended, so that a process without slots does not report ready.
+func (r *Router) UsableSlots() int {
+	n := 0
+	for _, s := range r.Status() {
+		n += s.Usable
+	}
+	return n
+}
