--- a/scripts/capacity-load.sh
+++ b/scripts/capacity-load.sh
@@ -47,6 +47,8 @@
 done
 for n in $(seq "$MEMBERS"); do wait_for 20 curl -s "http://$(admin_of "$n")/v1/members"; done
 wait_for 30 has_members
+alive platform
+for n in $(seq "$MEMBERS"); do alive "entry-$n"; done
 write_services >"$RUN/services.yaml"
 operator 1 config set "$RUN/services.yaml" >"$RUN/set.log"
 for n in $(seq "$MEMBERS"); do wait_for 30 ready "$n"; done
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -80,6 +80,8 @@
 for n in $(seq "$MEMBERS"); do start_entry "$n" "zone-$(((n - 1) % 9 + 1))"; done
 for n in $(seq "$MEMBERS"); do wait_for 20 curl -s "http://$(admin_of "$n")/v1/members"; done
 wait_for 30 has_members
+alive platform
+for n in $(seq "$MEMBERS"); do alive "entry-$n"; done
 write_services 1900ms >"$RUN/services.yaml"
 operator 1 config set "$RUN/services.yaml" >"$RUN/set.log"
 wait_for 13 in_force
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -28,6 +28,14 @@
 
 pid_of() { cat "$RUN/$1.pid"; }
 
+# alive NAME: fails when a command that start began has ended. Another run on
+# the same ports would answer in its place.
+alive() {
+  kill -0 "$(pid_of "$1")" 2>/dev/null && return
+  echo "$1 has ended: $(tail -n 1 "$RUN/$1.log")" >&2
+  return 1
+}
+
 # stop_all ends what start began, by process ID.
 stop_all() {
   local pid
