Use every setting, keep fetching rows after timeouts, refuse changes in a known outage

Settings: ten keys were checked and then ignored (retry budget, body bytes, requests in flight, connections, claim timeout, log level among them). Rows: a fetch from a peer that ended by timeout could lose its own end, after which a process cut off from the store never asked again. The new test fails without the change. Idle slots are reported again only when they change by a factor of two. A process in an availability zone without workers borrows and is ready.

--- a/control/controller.go
+++ b/control/controller.go
@@ -30,6 +30,9 @@
 	state      atomic.Pointer[State]
 	validUntil atomic.Int64 // Nanoseconds on Options.Now; 0 before the first confirmation.
 
+	// lifetime is the context of Run, for work that no caller waits for.
+	lifetime context.Context
+
 	// The fields below are owned by the control goroutine.
 	self    fleet.Member
 	rows    *rows
@@ -97,6 +100,7 @@
 
 // Run runs the control loop until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
+	c.lifetime = ctx
 	c.work.goDo(func() { c.pollRows(ctx) })
 	c.work.goDo(func() { c.pollVMs(ctx) })
 	ticker := time.NewTicker(c.options.Params.HeartbeatInterval)
--- a/control/controller_test.go
+++ b/control/controller_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/store"
 	"peridotcrank.dev/store/storetest"
 )
 
@@ -101,6 +102,23 @@
 	})
 }
 
+// Guards against a timeout of a peer after which rows are never asked for again.
+func TestRowsAreFetchedAgainAfterTimeouts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3)
+		b.cutStore("entry-3")
+		b.network.rowsHang.Store(true)
+		b.sleep(10 * time.Second)
+		b.put(fleet.VMKey("vm-1"), fleet.VM{ID: "vm-1", Pool: "webshop", Generation: 1, Phase: fleet.PhaseDraining})
+		b.sleep(20 * time.Second)
+		assert.Assert(t, !b.controller(2).Valid(), "the newest rows are missing")
+		b.network.rowsHang.Store(false)
+		b.sleep(2 * time.Second)
+		assert.Equal(t, b.controller(2).State().Fleet.VMs["vm-1"].Phase, fleet.PhaseDraining)
+		assert.Assert(t, b.controller(2).Valid())
+	})
+}
+
 // Guards against new work for a leaving backend server when only one process
 // sees the current VM list.
 func TestLeavingVMIsKnownEverywhere(t *testing.T) {
@@ -200,3 +218,25 @@
 		assert.Assert(t, time.Since(started) <= announceLimit)
 	})
 }
+
+// Guards against a change that is sent into a known outage and takes effect when
+// the store returns, after the operator was told that its outcome is unknown.
+func TestCommitIsRefusedDuringAKnownOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		table := NewCachedTable(b.controller(0))
+		write, err := store.Put("pool/x", fleet.Pool{ID: "x"})
+		assert.NilError(t, err)
+		b.table.SetFaults(storetest.Fault{Kind: storetest.Down})
+		b.sleep(2 * time.Second)
+		_, err = table.Commit(t.Context(), store.Transaction{Writes: []store.Write{write}})
+		assert.ErrorIs(t, err, store.ErrUnavailable)
+		b.table.SetFaults()
+		b.sleep(10 * time.Second)
+		assert.Equal(t, len(b.controller(0).State().Fleet.Pools), 0)
+		_, err = table.Commit(t.Context(), store.Transaction{Writes: []store.Write{write}})
+		assert.NilError(t, err)
+		b.sleep(2 * time.Second)
+		assert.Equal(t, len(b.controller(0).State().Fleet.Pools), 1)
+	})
+}
--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,7 @@
 	controllers map[fleet.MemberID]*Controller
 	cut         map[[2]fleet.MemberID]bool
 	latency     time.Duration
+	rowsHang    atomic.Bool     // Requests for rows get no reply.
 	ctx         context.Context // Ends with the test.
 }
 
@@ -87,6 +89,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.network.rowsHang.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return target.ReceiveRowsRequest(ctx, r)
 }
 
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -125,10 +125,11 @@
 	c.fetching = true
 	request := &peerpb.RowsRequest{Since: c.rows.revision}
 	c.work.goDo(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), c.options.Timeout)
+		call, cancel := context.WithTimeout(c.lifetime, c.options.Timeout)
 		defer cancel()
-		push, err := c.options.Peers.FetchRows(ctx, from, request)
-		c.send(ctx, rowsFetched{push: push, err: err})
+		push, err := c.options.Peers.FetchRows(call, from, request)
+		// The end must arrive also after a timeout, or no further fetch would start.
+		c.send(c.lifetime, rowsFetched{push: push, err: err})
 	})
 }
 
--- a/control/report.go
+++ b/control/report.go
@@ -31,7 +31,7 @@
 func (c *Controller) renewReport() {
 	idle := make(map[string]uint32)
 	for pool, n := range c.options.Traffic.IdleSlots() {
-		idle[string(pool)] = uint32(n)
+		idle[string(pool)] = roughly(uint32(n), c.report.idle[string(pool)])
 	}
 	leaving := make([]string, 0, len(c.leaving))
 	for _, id := range slices.Sorted(maps.Keys(c.leaving)) {
@@ -43,6 +43,16 @@
 	c.report = report{number: c.report.number + 1, leaving: leaving, idle: idle}
 }
 
+// roughly returns the number that was reported last as long as the present one is
+// within a factor of two of it. Peers use the numbers only to choose whom to ask
+// for slots, and under load they would otherwise change with each heartbeat.
+func roughly(now, reported uint32) uint32 {
+	if now > 0 && reported > 0 && now <= 2*reported && reported <= 2*now {
+		return reported
+	}
+	return now
+}
+
 // addReport adds the acknowledgement of a peer's heartbeat and, when the peer
 // does not hold it yet, this process's report.
 func (c *Controller) addReport(m *peerpb.Heartbeat, to fleet.MemberID) {
--- a/control/table.go
+++ b/control/table.go
@@ -35,15 +35,24 @@
 func (t *CachedTable) Read(ctx context.Context, prefix string, since store.Version) (store.Snapshot, error) {
 	state := t.controller.State()
 	if !state.StoreReachable {
-		return store.Snapshot{}, &store.Error{Step: "read " + prefix, Peer: "table service", Err: errors.Join(ErrStale, store.ErrUnavailable)}
+		return store.Snapshot{}, stale("read " + prefix)
 	}
 	reply := make(chan store.Snapshot, 1)
 	t.controller.send(ctx, rowsWanted{prefix: prefix, since: since, reply: reply})
 	return receive(ctx, reply)
 }
 
-// Commit implements store.Table.
+func stale(step string) error {
+	return &store.Error{Step: step, Peer: "table service", Err: errors.Join(ErrStale, store.ErrUnavailable)}
+}
+
+// Commit implements store.Table. While the table service cannot be reached it
+// refuses at once: a transaction that is sent into an outage ends as unknown and
+// may take effect when the service returns, long after the operator was told.
 func (t *CachedTable) Commit(ctx context.Context, tx store.Transaction) (store.Result, error) {
+	if !t.controller.State().StoreReachable {
+		return store.Result{}, stale("commit")
+	}
 	defer t.controller.Refresh()
 	return t.controller.options.Table.Commit(ctx, tx)
 }
--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -29,6 +29,7 @@
 	PeerConnected    Code = 3001
 	PeerDisconnected Code = 3002
 	PeerRefused      Code = 3003
+	PeerUnreachable  Code = 3004
 	MemberJoined     Code = 3010
 	MemberLeft       Code = 3011
 	MemberSuspected  Code = 3012
@@ -150,6 +151,7 @@
 	{PeerConnected, "peer-connected", LevelInfo, "A session with another entry process was opened."},
 	{PeerDisconnected, "peer-disconnected", LevelWarning, "A session with another entry process ended."},
 	{PeerRefused, "peer-refused", LevelWarning, "A session or message of a peer was refused."},
+	{PeerUnreachable, "peer-unreachable", LevelWarning, "No session with an entry process could be opened; one event sums up an interval."},
 	{MemberJoined, "member-joined", LevelInfo, "An entry process joined the member view."},
 	{MemberLeft, "member-left", LevelInfo, "An entry process left the member view after a planned stop."},
 	{MemberSuspected, "member-suspected", LevelWarning, "A member was silent for longer than the suspicion timeout."},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -62,6 +62,9 @@
 	if ref := c.prepare(); ref != nil {
 		return ref
 	}
+	if c.g.requests.Load() > int64(c.g.options.MaxInFlight) {
+		return shed("too many requests are in progress", 0)
+	}
 	if ref := c.readBody(); ref != nil {
 		return ref
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	budgets  sync.Map // fleet.PoolID to retry.Budget.
 	buffered byteBudget
 	inFlight inFlight
+	requests atomic.Int64 // Requests of callers in progress.
 	stopping atomic.Bool
 }
 
@@ -59,6 +60,8 @@
 		g.serveReady(w)
 		return
 	}
+	g.requests.Add(1)
+	defer g.requests.Add(-1)
 	c := newCall(g, w, r)
 	defer c.end()
 	if ref := c.run(); ref != nil {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -15,6 +15,7 @@
 // Defaults of Options and of services.
 const (
 	DefaultMaxAttempts = 4
+	DefaultMaxInFlight = 4096
 	// DefaultMaxRefusals lets a request outlast an availability zone whose four
 	// backend servers of a pool all refuse: each is ejected after three refusals.
 	DefaultMaxRefusals      = 16
@@ -66,6 +67,9 @@
 	// MaxRefusals bounds the exchanges of one request that ended before a byte
 	// was written. Default 16.
 	MaxRefusals int
+	// MaxInFlight bounds the requests of callers at once; more are refused as not
+	// run. Default 4,096.
+	MaxInFlight int
 	// MaxBufferedBytes bounds the request bodies held at once, in bytes. Answers
 	// that wait for slow readers count towards it. Default 64 MiB.
 	MaxBufferedBytes int64
@@ -83,6 +87,7 @@
 		required("Exchange", o.Exchange != nil),
 		required("Configuration", o.Configuration != nil),
 		notNegative("MaxAttempts", o.MaxAttempts),
+		notNegative("MaxInFlight", o.MaxInFlight),
 		notNegative("MaxRefusals", o.MaxRefusals),
 		notNegative("MaxBufferedBytes", o.MaxBufferedBytes),
 		notNegative("SlowSenderLimit", o.SlowSenderLimit),
@@ -93,6 +98,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&o.MaxInFlight, DefaultMaxInFlight)
 	setDefault(&o.MaxRefusals, DefaultMaxRefusals)
 	setDefault(&o.MaxBufferedBytes, DefaultMaxBufferedBytes)
 	setDefault(&o.SlowSenderLimit, DefaultSlowSenderLimit)
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -130,6 +130,7 @@
 		{name: "body too long, key seen", path: "/short", body: "01234567890", header: []string{HeaderIdempotencyKey, "k"}, change: verdict(claims.VerdictSeen), status: 409, outcome: OutcomeUnknown},
 		{name: "body too long, key fresh", path: "/short", body: "01234567890", header: []string{HeaderIdempotencyKey, "k"}, change: verdict(claims.VerdictFresh), status: 413, outcome: OutcomeNotRun},
 		{name: "deadline passed, owner silent", path: "/x", header: []string{HeaderDeadline, "0", HeaderIdempotencyKey, "k"}, change: verdict(claims.VerdictUnknown), status: 503, outcome: OutcomeUnknown, retryAfter: "1"},
+		{name: "too many requests", path: "/x", change: func(s *site) { s.requests.Store(DefaultMaxInFlight) }, status: 503, outcome: OutcomeNotRun, retryAfter: "1"},
 		{name: "claim lapsed", path: "/x", header: []string{HeaderIdempotencyKey, "k"}, change: func(s *site) { s.registry.lapsed.Store(true) }, status: 503, outcome: OutcomeNotRun, retryAfter: "1"},
 		{name: "invalid deadline", path: "/x", header: []string{HeaderDeadline, "soon"}, status: 400, outcome: OutcomeNotRun},
 		{name: "deadline passed", path: "/x", header: []string{HeaderDeadline, "0"}, status: 503, outcome: OutcomeNotRun, retryAfter: "1"},
--- a/limits/slots/worker.go
+++ b/limits/slots/worker.go
@@ -61,6 +61,9 @@
 // Busy returns the slots that requests of this process hold.
 func (w *Worker) Busy() uint64 { return w.busy }
 
+// Waiting returns the home slots that a former user may still use.
+func (w *Worker) Waiting() uint64 { return w.waiting }
+
 // Idle returns the home slots that could be lent.
 func (w *Worker) Idle() uint64 { return w.mine &^ w.waiting &^ w.lent &^ w.busy }
 
--- a/peridotcrank/entry/observe.go
+++ b/peridotcrank/entry/observe.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
+	"sync"
 
 	"peridotcrank.dev/claims"
 	"peridotcrank.dev/control/plans"
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/eventlog/metrics"
 	"peridotcrank.dev/eventlog/wire"
+	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/fleet/move"
 	"peridotcrank.dev/gateway"
 	"peridotcrank.dev/peer"
@@ -21,7 +24,35 @@
 
 func logOptions(s settings.Settings) eventlog.Options {
 	return eventlog.Options{
-		Process: string(s.Member), Writer: os.Stderr, Format: eventlog.Format(s.Log.Format), Capacity: s.Log.Timeline,
+		Process: string(s.Member), Writer: os.Stderr, Format: eventlog.Format(s.Log.Format),
+		MinLevel: logLevels[s.Log.Level], Capacity: s.Log.Timeline,
+	}
+}
+
+var logLevels = map[string]eventlog.Level{
+	"info": eventlog.LevelInfo, "warning": eventlog.LevelWarning, "alarm": eventlog.LevelAlarm,
+}
+
+// sessions tells the end of a session from an attempt that established none.
+type sessions struct {
+	mu        sync.Mutex
+	connected map[fleet.MemberID]bool
+}
+
+// recordSession records sessions with other members. Failed attempts to open
+// one come several times a second while a member is away, and are summed up.
+func (p *Process) recordSession(e peer.SessionEvent) {
+	p.sessions.mu.Lock()
+	was := p.sessions.connected[e.Member]
+	p.sessions.connected[e.Member] = e.Connected
+	p.sessions.mu.Unlock()
+	switch {
+	case e.Connected:
+		p.log.Record(eventlog.PeerConnected, eventlog.Fields{"peer": e.Member})
+	case was:
+		p.log.Record(eventlog.PeerDisconnected, eventlog.Fields{"peer": e.Member, "error": fmt.Sprint(e.Err)})
+	default:
+		p.summaries.add(eventlog.PeerUnreachable, string(e.Member), e.Err)
 	}
 }
 
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"peridotcrank.dev/admin"
 	"peridotcrank.dev/claims"
 	"peridotcrank.dev/control"
@@ -21,6 +23,7 @@
 	"peridotcrank.dev/exchange"
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/gateway"
+	"peridotcrank.dev/limits/retry"
 	"peridotcrank.dev/membership/monotime"
 	"peridotcrank.dev/peer"
 	"peridotcrank.dev/routing"
@@ -47,6 +50,7 @@
 	admin      *http.Server
 	summaries  *summaries
 	budgets    *budgets
+	sessions   sessions
 }
 
 // New builds a process from settings. It listens for peers, but does nothing else before Run.
@@ -55,7 +59,10 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{settings: s, clock: clock, summaries: newSummaries(), budgets: newBudgets()}
+	p := &Process{
+		settings: s, clock: clock, summaries: newSummaries(), budgets: newBudgets(),
+		sessions: sessions{connected: make(map[fleet.MemberID]bool)},
+	}
 	steps := []struct {
 		name  string
 		build func() error
@@ -109,15 +116,6 @@
 	return err
 }
 
-func (p *Process) recordSession(e peer.SessionEvent) {
-	code, fields := eventlog.PeerConnected, eventlog.Fields{"peer": e.Member}
-	if !e.Connected {
-		code = eventlog.PeerDisconnected
-		fields["error"] = fmt.Sprint(e.Err)
-	}
-	p.log.Record(code, fields)
-}
-
 func (p *Process) buildTraffic() (err error) {
 	p.router = routing.New(routing.Options{Peers: peering.New(p.node), Notify: p.recordRouting})
 	peering.ServeSlots(p.node, p.router)
@@ -142,6 +140,7 @@
 		// The control loop is built later; no claim is made before it runs.
 		Valid: func() bool { return p.controller != nil && p.controller.Valid() },
 		Now:   p.clock.Now, Window: p.settings.Limits.ClaimWindow, MaxRecords: p.settings.Limits.Claims,
+		ClaimTimeout: p.settings.Timeouts.Claim,
 	}
 }
 
@@ -178,7 +177,11 @@
 func (p *Process) buildGateway() (err error) {
 	p.gateway, err = gateway.New(gateway.Options{
 		Dispatcher: p.router, Claims: observedClaims{p.claims, p}, Exchange: p.exchange, Configuration: p.controller,
-		Ready: p.ready, Observe: p.observe, SlowSenderLimit: p.settings.Timeouts.ReadBody,
+		Ready: p.ready, Observe: p.observe,
+		Retry:            retry.Options{Ratio: p.settings.Limits.RetryRatio, Window: p.settings.Limits.RetryWindow},
+		MaxInFlight:      p.settings.Limits.InFlight,
+		MaxBufferedBytes: p.settings.Limits.BodyBytes,
+		SlowSenderLimit:  p.settings.Timeouts.ReadBody, SlowReaderLimit: p.settings.Timeouts.Write,
 	})
 	if err != nil {
 		return err
@@ -193,7 +196,7 @@
 // ready reports whether callers may be sent to this process. A process that has
 // just started has no slots until their former users must have ended.
 func (p *Process) ready() bool {
-	return p.controller.Valid() && p.controller.Configuration() != nil && p.router.UsableSlots() > 0
+	return p.controller.Valid() && p.controller.Configuration() != nil && p.router.Prepared()
 }
 
 func (p *Process) buildAdmin() error {
@@ -260,6 +263,7 @@
 			return l, fmt.Errorf("listen: %w", err)
 		}
 	}
+	l.callers = netutil.LimitListener(l.callers, p.settings.Limits.Connections)
 	l.callers = secure(l.callers, p.settings.TLS.Callers)
 	l.admin = secure(l.admin, p.settings.TLS.Admin)
 	return l, nil
--- a/routing/status.go
+++ b/routing/status.go
@@ -50,13 +50,20 @@
 	return all
 }
 
-// UsableSlots returns the number of slots that requests of this process may
-// hold, busy or not. It is 0 after a start until former users of the home slots
-// must have ended, so that a process without slots does not report ready.
-func (r *Router) UsableSlots() int {
-	n := 0
-	for _, s := range r.Status() {
-		n += s.Usable
+// Prepared reports whether requests can get slots: the process may use some, or
+// waits for none and borrows, as in an availability zone without workers. It is
+// false after a start until former users of the home slots must have ended, so
+// that a process without slots does not report ready.
+func (r *Router) Prepared() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance(r.options.Now())
+	usable, waiting := 0, 0
+	for _, p := range r.pools {
+		for _, b := range p.backends {
+			usable += bits.OnesCount64(b.worker.Usable())
+			waiting += bits.OnesCount64(b.worker.Waiting())
+		}
 	}
-	return n
+	return len(r.pools) > 0 && (usable > 0 || waiting == 0)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -52,7 +52,7 @@
 	Write      time.Duration // Response to the caller, 10 ms to 1 h. Default 30 s.
 	Idle       time.Duration // Idle connection of a caller, 1 s to 1 h. Default 60 s.
 	Dial       time.Duration // Connection to a backend server or peer, 1 ms to 1 min. Default 1 s.
-	Claim      time.Duration // Answer of the owner of a key, 1 ms to 1 min. Default 500 ms.
+	Claim      time.Duration // Claim of a key, longer than an eviction takes to be written, 1 ms to 1 min. Default 1 s.
 	Drain      time.Duration // Time between "not ready" and closing the listener, 0 to 10 min. Default 5 s.
 	Stop       time.Duration // Whole planned stop, more than Drain, at most 1 h. Default 30 s.
 }
@@ -62,14 +62,14 @@
 	Connections    int     // Connections of callers, 1 to 1,000,000. Default 8,192.
 	InFlight       int     // Requests of callers at once, 1 to Connections. Default 4,096.
 	HeaderBytes    int64   // Request header, 1 KiB to 1 MiB. Default 64 KiB.
-	BodyBytes      int64   // Request body of any service, 1 B to 1 GiB. Default 16 MiB.
+	BodyBytes      int64   // Request bodies and answers held at once, 1 B to 1 GiB. Default 16 MiB.
 	ResponseBuffer int64   // Response read in full before it is passed on, 1 KiB to 64 MiB. Default 256 KiB.
 	RetryRatio     float64 // Retries per live request, 0 to 1. Default 0.1.
 	// RetryWindow is the sliding window of RetryRatio, 1 s to 10 min. Default 10 s.
 	RetryWindow time.Duration
 	// ClaimWindow is the time for which a key is recognised, 1 s to 1 h. Default 60 s.
 	ClaimWindow time.Duration
-	Claims      int // Keys kept at once, 1 to 100,000,000. Default 1,000,000.
+	Claims      int // Keys kept at once, 1 to 100,000,000; about 150 B each. Default 200,000.
 }
 
 // TLS names the files of the listeners' certificates. A listener without
@@ -115,7 +115,8 @@
 	Weights Weights
 }
 
-// Weights are the relative costs in the comparison of plans, each 0 to
+// Weights are the relative costs in the comparison of plans. No plan uses them
+// yet. Each is 0 to
 // 1,000. At least one is positive.
 type Weights struct {
 	BufferCost  float64 // Idle capacity held back for surges. Default 1.
