--- a/peer/stats_test.go
+++ b/peer/stats_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"peridotcrank.dev/peer/peerpb"
 )
@@ -19,5 +21,11 @@
 	assert.Assert(t, after.Claims.BytesReceived-before.Claims.BytesReceived > 1000)
 	assert.Assert(t, after.Control.BytesReceived-before.Control.BytesReceived < 1000)
 	assert.Assert(t, after.Wire.Received > after.Claims.BytesReceived+after.Control.BytesReceived)
-	assert.Assert(t, a.Stats().Wire.Sent > 1000)
+	// The writer counts after the write, which the reply may overtake.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if a.Stats().Wire.Sent > 1000 {
+			return poll.Success()
+		}
+		return poll.Continue("%d bytes counted", a.Stats().Wire.Sent)
+	}, poll.WithDelay(time.Millisecond))
 }
