--- a/peer/link.go
+++ b/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -106,7 +107,9 @@
 
 // serve publishes the streams until one of them or the session ends.
 func (l *link) serve(ctx context.Context, cancel context.CancelCauseFunc, multiplexed *yamux.Session, callers []*caller) error {
-	for class, c := range callers {
+	// The control class comes last: Connected looks at it, and the other classes
+	// must be usable by then.
+	for class, c := range slices.Backward(callers) {
 		l.node.running.Go(c.readLoop)
 		l.node.running.Go(c.writeLoop)
 		context.AfterFunc(c.ctx, func() { cancel(context.Cause(c.ctx)) })
