Ask a prober to leave also when the stop comes during its request

The readiness probe answered 503 without Connection: close when the stop came between two looks at the flag (1 of 40 runs of TestDrainUnderLoadLosesNothing with eight suites at once).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,9 @@
 	status, text := http.StatusOK, "ready\n"
 	if !g.Ready() {
 		status, text = http.StatusServiceUnavailable, "not ready\n"
+		if g.stopping.Load() { // Stop may have come after ServeHTTP looked.
+			w.Header().Set("Connection", "close")
+		}
 	}
 	w.Header().Set(HeaderOutcome, string(OutcomeNotRun))
 	w.WriteHeader(status)
