Let a refused caller send its body before the connection is closed

Cause of the lost refusals: with Connection: close net/http discards nothing of the body and closes at once, so that a caller which is still sending gets a reset. The gateway now reads up to 256 KiB for up to 2 s itself and keeps the connection when the body ends.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -10,11 +12,13 @@
 	"peridotcrank.dev/routing"
 )
 
-// unreadLinger bounds the time in which the server discards the rest of a body
-// that the gateway did not read. A caller that is still sending then would get a
-// reset connection in place of the refusal; 500 ms was too short on a busy
-// machine.
-const unreadLinger = 2 * time.Second
+// Limits on discarding the rest of a refused request's body. A caller that is
+// still sending when the connection is closed gets a reset in place of the
+// refusal, because net/http discards nothing when it is to close the connection.
+const (
+	discardTime  = 2 * time.Second
+	discardBytes = 256 << 10
+)
 
 // call is one request on its way through the gateway.
 type call struct {
@@ -141,18 +145,20 @@
 	if ref.outcome == OutcomeNotRun && c.claimed != nil {
 		c.g.options.Claims.Release(context.WithoutCancel(c.r.Context()), *c.claimed)
 	}
-	if !c.bodyRead {
+	if !c.bodyRead && (ref.status == http.StatusRequestTimeout || !c.discardBody()) {
 		c.w.Header().Set("Connection", "close")
-		until := time.Now().Add(unreadLinger)
-		if ref.status == http.StatusRequestTimeout {
-			until = time.Now() // The sender has had its time.
-		}
-		_ = http.NewResponseController(c.w).SetReadDeadline(until) // Unsupported only by test recorders.
 	}
 	c.status, c.outcome, c.reason, c.err = ref.status, ref.outcome, ref.reason, ref.err
 	ref.write(c.w)
 }
 
+// discardBody reads the rest of the body and reports whether it reached the end.
+func (c *call) discardBody() bool {
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(discardTime)) // Unsupported only by test recorders.
+	_, err := io.CopyN(io.Discard, c.r.Body, discardBytes)
+	return errors.Is(err, io.EOF)
+}
+
 // end frees what the call holds, also when it panics.
 func (c *call) end() {
 	c.endAttempt(routing.ResultBroken)
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -201,6 +201,25 @@
 	assert.Equal(t, len(s.dispatcher.requests), 0)
 }
 
+// Guards against a caller that is still sending and gets a reset connection in
+// place of the refusal. The reset has to win a race, so that the test asks often.
+func TestRefusedCallerMaySendTheRest(t *testing.T) {
+	s := newSite(t, func(o *Options) { o.MaxBufferedBytes = 100 }, newBackend(t))
+	body := strings.Repeat("x", 200_000)
+	var callers sync.WaitGroup
+	for range 16 {
+		callers.Go(func() {
+			for range 50 {
+				resp, _, err := send(t, "POST", s.url+"/x", body)
+				if assert.Check(t, err) {
+					assert.Check(t, resp.StatusCode == http.StatusServiceUnavailable && outcome(resp) == OutcomeNotRun)
+				}
+			}
+		})
+	}
+	callers.Wait()
+}
+
 // Guards against unbounded memory and against bytes that are never given back.
 func TestBufferedBytesAreBounded(t *testing.T) {
 	s := newSite(t, func(o *Options) { o.MaxBufferedBytes = 100_000 }, newBackend(t))
