Drop state and a wrapper that the control loop does not need

The wish to join followed from the first successful read, which 'reachable' shows already; the error of a write of the members row was stored and never read; and the type around sync.WaitGroup added only other names. Behaviour is the same; all tests pass.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -95,7 +95,7 @@
 		if member.ID == c.options.Self.ID {
 			continue
 		}
-		c.work.goDo(func() {
+		c.work.Go(func() {
 			call, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.options.Timeout)
 			defer cancel()
 			if err := c.options.Peers.PushConfiguration(call, member.ID, push); err != nil {
--- a/control/controller.go
+++ b/control/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +25,8 @@
 type Controller struct {
 	options Options
 	events  chan event
-	wakeup  chan struct{} // Asks the poller for an immediate read.
-	work    *tasks
+	wakeup  chan struct{}  // Asks the poller for an immediate read.
+	work    sync.WaitGroup // Goroutines that work for the controller.
 
 	state      atomic.Pointer[State]
 	validUntil atomic.Int64 // Nanoseconds on Options.Now; 0 before the first confirmation.
@@ -45,7 +46,6 @@
 	conversations map[fleet.MemberID]conversation
 	reachable     bool
 	readAt        time.Duration
-	joined        bool
 	leavingUs     bool          // This process has been told to leave.
 	writing       bool          // A write of the members row is in progress or not read back yet.
 	written       time.Duration // End of that write, or 0.
@@ -74,7 +74,7 @@
 		return nil, fmt.Errorf("create membership tracker: %w", err)
 	}
 	c := &Controller{
-		options: o, events: make(chan event, eventQueue), wakeup: make(chan struct{}, 1), work: &tasks{},
+		options: o, events: make(chan event, eventQueue), wakeup: make(chan struct{}, 1),
 		self: o.Self, rows: newRows(), tracker: tracker,
 		config: &fleet.Configuration{}, peers: make(map[fleet.MemberID]PeerState), conversations: make(map[fleet.MemberID]conversation), leaving: make(map[fleet.VMID]bool),
 	}
@@ -101,15 +101,15 @@
 // Run runs the control loop until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.lifetime = ctx
-	c.work.goDo(func() { c.pollRows(ctx) })
-	c.work.goDo(func() { c.pollVMs(ctx) })
+	c.work.Go(func() { c.pollRows(ctx) })
+	c.work.Go(func() { c.pollVMs(ctx) })
 	ticker := time.NewTicker(c.options.Params.HeartbeatInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			c.validUntil.Store(0)
-			c.work.wait()
+			c.work.Wait()
 			return
 		case e := <-c.events:
 			e.apply(c)
--- a/control/heartbeat.go
+++ b/control/heartbeat.go
@@ -124,7 +124,7 @@
 	}
 	c.fetching = true
 	request := &peerpb.RowsRequest{Since: c.rows.revision}
-	c.work.goDo(func() {
+	c.work.Go(func() {
 		call, cancel := context.WithTimeout(c.lifetime, c.options.Timeout)
 		defer cancel()
 		push, err := c.options.Peers.FetchRows(call, from, request)
--- a/control/members.go
+++ b/control/members.go
@@ -13,13 +13,11 @@
 )
 
 // membersWritten is the end of a write of the members row.
-type membersWritten struct {
-	err error
-}
+type membersWritten struct{}
 
 // apply keeps further writes back until a read that began after this one: the
 // same conditional write on the old row would only be rejected.
-func (e membersWritten) apply(c *Controller) {
+func (membersWritten) apply(c *Controller) {
 	c.written = c.options.Now()
 	c.Refresh()
 }
@@ -31,12 +29,10 @@
 	}
 }
 
-// joinOnce makes the process want to join after the first read.
-func (c *Controller) joinOnce() { c.joined = true }
-
-// maintainMembership joins, or evicts a member that a majority suspects.
+// maintainMembership joins, or evicts a member that a majority suspects. It waits
+// for the first read, since reachable is false before it.
 func (c *Controller) maintainMembership(ctx context.Context) {
-	if c.writing || !c.joined || c.leavingUs || !c.reachable {
+	if c.writing || c.leavingUs || !c.reachable {
 		return
 	}
 	if !c.tracker.InView() {
@@ -77,9 +73,10 @@
 		Writes:     []store.Write{write},
 		Priority:   store.PrioritySafety,
 	}
-	c.work.goDo(func() {
-		_, err := c.options.Table.Commit(ctx, transaction)
-		c.send(ctx, membersWritten{err: err})
+	c.work.Go(func() {
+		// The next read shows the effect, whatever the reply says.
+		_, _ = c.options.Table.Commit(ctx, transaction)
+		c.send(ctx, membersWritten{})
 	})
 }
 
--- a/control/poll.go
+++ b/control/poll.go
@@ -26,7 +26,6 @@
 	c.readAt = e.started
 	c.applyRows(e.snapshot.Revision, e.snapshot.Rows)
 	c.tracker.ReadStore(c.options.Now(), membership.StoreRead{Started: e.started, View: c.rows.members})
-	c.joinOnce()
 	c.allowWrites(e.started)
 }
 
