Serve jobs that can be in time first and give VMs away by need

Jobs are ordered by whether they can be in time, then by the work left, with durations learned per queue. Pools report the work that arrives, waits in time and waits late; VMs with few short tasks are vacated for a pool that lacks room.

--- a/jobs/maintenance/machines.go
+++ b/jobs/maintenance/machines.go
@@ -67,8 +67,11 @@
 // Demand is what a pool's owner reports.
 type Demand struct {
 	Used    job.Resources
-	Waiting job.Resources
-	Workers map[worker.ID]Use
+	Waiting job.Resources // Of jobs that can be in time.
+	Late    job.Resources // Of other jobs.
+	// Arriving is the work that came in the last second.
+	Arriving job.Resources
+	Workers  map[worker.ID]Use
 }
 
 // Owners asks the owners of pools. The workers named are vacated for a while.
--- a/jobs/maintenance/manager.go
+++ b/jobs/maintenance/manager.go
@@ -44,7 +44,7 @@
 	// returnSlack is added to the time that a VM is away until its worker is expected back.
 	returnSlack = 1500 * time.Millisecond
 	// moveVacateLimit is how long a move waits for its VM to be vacated.
-	moveVacateLimit = 1500 * time.Millisecond
+	moveVacateLimit = 2500 * time.Millisecond
 	// peakWindow is how long a pool keeps the room that it needed last.
 	peakWindow = 2500 * time.Millisecond
 	// fenceShift leaves room for the numbers of orders below the version of the ownership.
--- a/jobs/maintenance/planner.go
+++ b/jobs/maintenance/planner.go
@@ -53,6 +53,9 @@
 const (
 	// utilization is the share of a pool's room that can be filled in practice.
 	utilization = 0.9
+	// lateShare is the part of the room for late jobs that a pool asks for; they
+	// are served when jobs in time leave room.
+	lateShare = 0.25
 	// minPoolVMs stay in each pool for long-running tasks and single jobs.
 	minPoolVMs = 3
 	// maxMoves bounds the moves under way.
@@ -63,14 +66,18 @@
 	deadlineReserve = 6 * time.Second
 )
 
-// Need returns how many VMs of a capacity a pool's demand fills.
+// Need returns how many VMs of a capacity a pool's demand fills: what runs and
+// waits now, or the rate at which work comes, which rises first.
 func Need(d Demand, capacity job.Resources) float64 {
+	return max(vms(d.Used.Plus(d.Waiting), capacity)+lateShare*vms(d.Late, capacity), vms(d.Arriving, capacity)) / utilization
+}
+
+// vms returns the number of VMs that an amount fills.
+func vms(r, capacity job.Resources) float64 {
 	if capacity.CPU <= 0 || capacity.MemoryMB <= 0 {
 		return 0
 	}
-	total := d.Used.Plus(d.Waiting)
-	share := max(float64(total.CPU)/float64(capacity.CPU), float64(total.MemoryMB)/float64(capacity.MemoryMB))
-	return share / utilization
+	return max(float64(r.CPU)/float64(capacity.CPU), float64(r.MemoryMB)/float64(capacity.MemoryMB))
 }
 
 // Plan returns the orders to begin now, the upkeeps first.
@@ -88,13 +95,15 @@
 	have float64 // VMs that serve it, or will after their move.
 	need float64
 	peak float64
-	idle []*Machine
+	// free are VMs that can be given away, idle ones first.
+	free []*Machine
 }
 
 func (p *pool) deficit() float64 { return p.need - p.have }
 
-// surplus is the number of VMs that the pool can give away.
-func (p *pool) surplus() float64 { return p.have - max(p.need, p.peak, minPoolVMs) }
+// surplus is the number of VMs that the pool can give away. What it needed a
+// moment ago does not count while another pool lacks room.
+func (p *pool) surplus() float64 { return p.have - max(p.need, minPoolVMs) }
 
 type plan struct {
 	s         Snapshot
@@ -121,6 +130,9 @@
 		pl.need = Need(d, capacity)
 		pl.peak = s.Peaks[name]
 	}
+	for _, pl := range p.pools {
+		slices.SortStableFunc(pl.free, func(a, b *Machine) int { return cmp.Compare(p.tasks(a), p.tasks(b)) })
+	}
 	return p
 }
 
@@ -143,18 +155,27 @@
 	default:
 		pl := p.pool(m.Pool)
 		pl.have++
-		if m.State == Up && p.isIdle(m) {
-			pl.idle = append(pl.idle, m)
+		if m.State == Up && p.tasks(m) != unknownTasks {
+			pl.free = append(pl.free, m)
 		}
 	}
 }
 
-func (p *plan) isIdle(m *Machine) bool {
+func (p *plan) isIdle(m *Machine) bool { return p.tasks(m) == 0 }
+
+// unknownTasks marks VMs whose use is not known or that have long-running tasks.
+const unknownTasks = -1
+
+// tasks returns the number of tasks on a VM.
+func (p *plan) tasks(m *Machine) int {
 	if m.Pool == p.s.Spare {
-		return true
+		return 0
 	}
 	use, ok := p.s.Demands[m.Pool].Workers[m.Worker]
-	return ok && use.Tasks == 0
+	if !ok || use.Lasting > 0 {
+		return unknownTasks
+	}
+	return use.Tasks
 }
 
 // planWave begins upkeeps of a wave: VMs in use only when time requires it.
@@ -226,8 +247,8 @@
 	}
 }
 
-// planMoves gives idle VMs to pools whose demand exceeds their room, the
-// greatest lack first.
+// planMoves gives VMs to pools whose demand exceeds their room, the greatest
+// lack first. A VM with short tasks is vacated first, which takes about a second.
 func (p *plan) planMoves() {
 	moves := 0
 	for _, pending := range p.s.Pending {
@@ -264,12 +285,12 @@
 	return best
 }
 
-// donate returns an idle VM of the pool with the greatest surplus; VMs that are
+// donate returns the VM with the fewest tasks of the pool with the greatest surplus; VMs that are
 // switched off come last, since they cost nothing there.
 func (p *plan) donate(to *pool) *Machine {
 	var best *pool
 	for _, pl := range p.pools {
-		if pl == to || pl.name == p.s.Spare || pl.surplus() < 1 || p.nextIdle(pl) == nil {
+		if pl == to || pl.name == p.s.Spare || pl.surplus() < 1 || p.nextFree(pl) == nil {
 			continue
 		}
 		if best == nil || pl.surplus() > best.surplus() || pl.surplus() == best.surplus() && pl.name < best.name {
@@ -282,11 +303,11 @@
 	if best == nil {
 		return nil
 	}
-	return p.nextIdle(best)
+	return p.nextFree(best)
 }
 
-func (p *plan) nextIdle(pl *pool) *Machine {
-	for _, m := range pl.idle {
+func (p *plan) nextFree(pl *pool) *Machine {
+	for _, m := range pl.free {
 		if !p.taken[m.Name] {
 			return m
 		}
--- a/jobs/shard/calls.go
+++ b/jobs/shard/calls.go
@@ -58,6 +58,7 @@
 	js := newJobState(j)
 	s.arrivals++
 	js.sequence = s.arrivals
+	js.submitted = s.o.Clock()
 	js.waiters = append(js.waiters, answer)
 	s.jobs[j.ID] = js
 	s.journal.inserts = append(s.journal.inserts, js)
@@ -69,6 +70,7 @@
 	js.stored = true
 	js.answer(Answer{Code: OK})
 	s.record(eventlog.JobAccepted, eventlog.Fields{"job": js.job.ID, "queue": js.job.Queue, "steps": len(js.job.Steps)})
+	s.noteArrival(js)
 	s.release(js)
 }
 
--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -48,7 +48,7 @@
 		a.task.setSaved(r.Saved)
 	}
 	if a.phase == starting {
-		a.phase, a.answered = running, s.o.Clock()
+		a.phase, a.answered, a.began = running, s.o.Clock(), s.o.Clock()
 	}
 }
 
@@ -80,6 +80,9 @@
 
 func (s *Shard) applyEnd(w *workerState, end worker.End) {
 	if a := w.attempts[runKey{end.Task, end.Run}]; a != nil {
+		if end.How == worker.Done && a.began > 0 {
+			s.observe(a)
+		}
 		s.remove(a)
 	}
 	js := s.jobs[end.Task.Job]
--- a/jobs/shard/load.go
+++ b/jobs/shard/load.go
@@ -69,6 +69,7 @@
 	for _, j := range loaded.jobs {
 		js := newJobState(j)
 		js.stored, js.inherited = true, true
+		js.submitted = s.o.Clock() - max(s.o.Wall().Sub(j.Accepted), 0)
 		if record := loaded.progress[j.ID]; record != nil {
 			js.restore(record)
 		}
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -37,7 +37,7 @@
 		a.worker.observe(clock, now)
 		a.answered = now
 		if a.phase == starting {
-			a.phase = running
+			a.phase, a.began = running, now
 		}
 		return
 	}
--- a/jobs/shard/place.go
+++ b/jobs/shard/place.go
@@ -40,25 +40,30 @@
 
 // waitingSteps returns the steps with tasks to start, in the order of their turn.
 func (s *Shard) waitingSteps() []*stepState {
-	var waiting []*stepState
+	type entry struct {
+		step *stepState
+		turn scheduler.Turn
+	}
+	var waiting []entry
+	now := s.o.Clock()
 	for step := range s.steps {
 		if step.idle == 0 || !step.job.alive() || step.job.inherited && s.unaccounted > 0 {
 			continue
 		}
-		waiting = append(waiting, step)
+		waiting = append(waiting, entry{step, s.turn(step.job, now)})
+	}
+	slices.SortFunc(waiting, func(a, b entry) int {
+		return cmp.Or(
+			a.turn.Compare(b.turn),
+			cmp.Compare(a.step.occurrence, b.step.occurrence),
+			cmp.Compare(a.step.number, b.step.number),
+		)
+	})
+	steps := make([]*stepState, len(waiting))
+	for i, e := range waiting {
+		steps[i] = e.step
 	}
-	slices.SortFunc(waiting, s.compareSteps)
-	return waiting
-}
-
-func (s *Shard) compareSteps(a, b *stepState) int {
-	qa, qb := s.queues[a.job.job.Queue], s.queues[b.job.job.Queue]
-	return cmp.Or(
-		cmp.Compare(qa.Priority, qb.Priority),
-		cmp.Compare(a.job.sequence, b.job.sequence),
-		cmp.Compare(a.occurrence, b.occurrence),
-		cmp.Compare(a.number, b.number),
-	)
+	return steps
 }
 
 // pass is one pass over the waiting tasks.
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -5,6 +5,7 @@
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/scheduler"
 	"peridotcrank.dev/jobs/worker"
 )
 
@@ -33,6 +34,8 @@
 	placing     bool
 	registry    []worker.Info
 	lastSweep   time.Duration
+	learned     map[job.Queue]*scheduler.Durations
+	recent      []arrival // Oldest first.
 }
 
 // New returns a shard; Start begins its work.
@@ -46,6 +49,7 @@
 	s := &Shard{
 		o: o, queues: Queues{}, jobs: map[job.ID]*jobState{}, ended: map[job.ID]ended{},
 		workers: map[worker.ID]*workerState{}, steps: map[*stepState]struct{}{}, timed: map[*stepState]struct{}{},
+		learned: map[job.Queue]*scheduler.Durations{},
 	}
 	s.journal.init()
 	return s, nil
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/scheduler"
 	"peridotcrank.dev/jobs/worker"
 )
 
@@ -16,6 +17,10 @@
 	// known is set for jobs of a former owner, whose tasks may be running.
 	inherited bool
 	started   bool
+	lasting   bool // A step runs until the job is cancelled.
+	submitted time.Duration
+	work      scheduler.Work // As of workOpen open steps.
+	workOpen  int
 	// outcome is the state in which the job ends, or 0; it is shown once it is committed.
 	outcome job.State
 	steps   []*stepState // All steps of occurrence 0, then of 1, and so on.
@@ -25,7 +30,7 @@
 }
 
 func newJobState(j *job.Job) *jobState {
-	js := &jobState{job: j}
+	js := &jobState{job: j, lasting: j.LongRunning()}
 	for occurrence := range j.Occurrences() {
 		for i := range j.Steps {
 			js.steps = append(js.steps, newStepState(js, occurrence, i))
@@ -153,6 +158,7 @@
 	// answered is when the last order about the run was answered, 0 before.
 	answered time.Duration
 	sent     time.Duration
+	began    time.Duration // When the run was first seen.
 	// ordering is set while a stop is under way.
 	ordering bool
 	percent  int
--- a/jobs/shard/vacate.go
+++ b/jobs/shard/vacate.go
@@ -25,8 +25,12 @@
 type Report struct {
 	Workers []Use
 	Used    job.Resources
-	// Waiting is what the tasks that wait for a worker ask for.
+	// Waiting is what the tasks that wait for a worker ask for, as far as their
+	// jobs can be in time; Late is the rest.
 	Waiting job.Resources
+	Late    job.Resources
+	// Arriving is the work that came in the last second.
+	Arriving job.Resources
 }
 
 // Report returns the use of the workers. Those named in vacate get no new tasks
@@ -57,15 +61,26 @@
 		r.Used = r.Used.Plus(w.used)
 	}
 	for step := range s.steps {
-		if step.job.alive() && step.idle > 0 {
-			charge := step.spec.Charge()
-			n := int64(step.idle)
-			r.Waiting = r.Waiting.Plus(job.Resources{CPU: n * charge.CPU, MemoryMB: n * charge.MemoryMB, GPU: n * charge.GPU})
+		if !step.job.alive() || step.idle == 0 {
+			continue
+		}
+		waiting := step.waiting()
+		if s.turn(step.job, now).Class == scheduler.InTime {
+			r.Waiting = r.Waiting.Plus(waiting)
+		} else {
+			r.Late = r.Late.Plus(waiting)
 		}
 	}
+	r.Arriving = s.arriving()
 	return r, true
 }
 
+// waiting is what the tasks of a step without an attempt ask for.
+func (s *stepState) waiting() job.Resources {
+	charge, n := s.spec.Charge(), int64(s.idle)
+	return job.Resources{CPU: n * charge.CPU, MemoryMB: n * charge.MemoryMB, GPU: n * charge.GPU}
+}
+
 // evacuate stops long-running tasks of a worker, as far as the others of their
 // steps are at work and there is room elsewhere.
 func (s *Shard) evacuate(w *workerState) {
@@ -73,7 +88,7 @@
 		if a.task == nil || a.phase != running || !a.task.step.spec.LongRunning || !a.task.step.job.alive() {
 			continue
 		}
-		if !a.task.step.permitsDisruption(a.task) || !s.hasRoom(a.task.step) {
+		if !a.task.step.permitsDisruption(a.task, s.o.Clock()) || !s.hasRoom(a.task.step) {
 			continue
 		}
 		s.record(eventlog.TaskEvacuated, eventlog.Fields{"task": a.ref.String(), "run": a.run, "worker": w.info.ID})
@@ -83,13 +98,13 @@
 
 // permitsDisruption reports whether a task may be interrupted: fewer others of
 // its step than the bound are away.
-func (s *stepState) permitsDisruption(t *task) bool {
+func (s *stepState) permitsDisruption(t *task, now time.Duration) bool {
 	if s.spec.MaxDisrupted == 0 {
 		return true
 	}
 	away := 0
 	for _, other := range s.tasks {
-		if other != t && !other.atWork() {
+		if other != t && !other.atWork(now) {
 			away++
 		}
 	}
@@ -98,16 +113,25 @@
 
 const fullPercent = 100
 
-// atWork reports whether a run of the task has passed its start-up and is not being stopped.
-func (t *task) atWork() bool {
+// statusLimit is the age from which a worker's last answer says nothing of what runs there now.
+const statusLimit = 2 * time.Second
+
+// atWork reports whether a run of the task has passed its start-up and is not
+// being stopped, on a worker that answers.
+func (t *task) atWork(now time.Duration) bool {
 	for _, a := range t.attempts {
-		if a.phase == running && a.percent >= fullPercent {
+		if a.phase == running && a.percent >= fullPercent && a.worker.answering(now) {
 			return true
 		}
 	}
 	return false
 }
 
+// answering reports whether a worker's lists are recent.
+func (w *workerState) answering(now time.Duration) bool {
+	return w.failures == 0 && now-w.clockAt < statusLimit
+}
+
 func (s *Shard) hasRoom(step *stepState) bool {
 	p := s.newPass()
 	return scheduler.Choose(p.nodes, p.constraint(step)) != scheduler.None
--- /dev/null
+++ b/jobs/shard/work.go
@@ -0,0 +1,138 @@
+package shard
+
+import (
+	"time"
+
+	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/scheduler"
+)
+
+// turn returns a job's place in the order of waiting jobs.
+func (s *Shard) turn(js *jobState, now time.Duration) scheduler.Turn {
+	turn := scheduler.Turn{Priority: s.queues[js.job.Queue].Priority, Sequence: js.sequence}
+	if js.lasting {
+		return turn // They hold little room for long, and each moment without them counts.
+	}
+	work := s.work(js)
+	turn.Class, turn.Load = work.ClassAt(now), work.Load
+	return turn
+}
+
+// work returns what is left of a job. It is computed again when a step completes.
+func (s *Shard) work(js *jobState) scheduler.Work {
+	if js.work.Objective == 0 || js.workOpen != js.open {
+		js.work, js.workOpen = s.remaining(js), js.open
+	}
+	return js.work
+}
+
+func (s *Shard) durations(queue job.Queue) *scheduler.Durations {
+	d := s.learned[queue]
+	if d == nil {
+		d = &scheduler.Durations{}
+		s.learned[queue] = d
+	}
+	return d
+}
+
+const (
+	defaultStretch   = 1.5
+	defaultObjective = 500 * time.Millisecond
+	// widestFactor is about how much longer the slowest task of a step runs than the mean.
+	widestFactor = 1.15
+	coreMilli    = 1000
+)
+
+// remaining computes the work that is left of a job's first open occurrence.
+func (s *Shard) remaining(js *jobState) scheduler.Work {
+	q := s.queues[js.job.Queue]
+	if q.Stretch == 0 {
+		q.Stretch = defaultStretch
+	}
+	if q.Objective == 0 {
+		q.Objective = defaultObjective
+	}
+	learned := s.durations(js.job.Queue)
+	n := len(js.job.Steps)
+	whole, left := make([]time.Duration, n), make([]time.Duration, n)
+	w := scheduler.Work{Submitted: js.submitted}
+	var longest time.Duration
+	for i := range js.job.Steps {
+		spec := &js.job.Steps[i]
+		step := js.steps[js.firstOpen()*n+i]
+		each := learned.Predict(spec.Estimate)
+		whole[i] = time.Duration(float64(each) * widestFactor)
+		if !step.complete() {
+			left[i] = whole[i]
+			w.Load += each.Seconds() * float64(len(step.tasks)-step.done) * float64(spec.Resources.CPU) / coreMilli
+		}
+		for _, before := range spec.After {
+			whole[i] = max(whole[i], whole[before]+time.Duration(float64(each)*widestFactor))
+			if left[i] > 0 {
+				left[i] = max(left[i], left[before]+time.Duration(float64(each)*widestFactor))
+			} else {
+				left[i] = max(left[i], left[before])
+			}
+		}
+		longest, w.Chain = max(longest, whole[i]), max(w.Chain, left[i])
+	}
+	w.Objective = time.Duration(float64(longest)*q.Stretch) + q.Objective
+	return w
+}
+
+// firstOpen returns the first occurrence with a step that is not complete.
+func (js *jobState) firstOpen() int {
+	n := len(js.job.Steps)
+	for i, step := range js.steps {
+		if !step.complete() {
+			return i / n
+		}
+	}
+	return 0
+}
+
+// observe learns from a task that ended as done.
+func (s *Shard) observe(a *attempt) {
+	if a == nil || a.task == nil || a.answered == 0 || a.task.step.spec.LongRunning || a.phase != running {
+		return
+	}
+	s.durations(a.task.step.job.job.Queue).Observe(a.task.step.spec.Estimate, s.o.Clock()-a.began)
+}
+
+// arrival is the work of a job that came.
+type arrival struct {
+	at time.Duration
+	r  job.Resources // Thousandths of a core, and MB, for one second.
+}
+
+// arrivalWindow is the time over which the rate of new work is measured.
+const arrivalWindow = time.Second
+
+// noteArrival adds a new job to the rate of new work.
+func (s *Shard) noteArrival(js *jobState) {
+	if js.lasting || js.job.Times > 0 {
+		return
+	}
+	var r job.Resources
+	learned := s.durations(js.job.Queue)
+	for i := range js.job.Steps {
+		spec := &js.job.Steps[i]
+		load := learned.Predict(spec.Estimate).Seconds() * float64(spec.Count)
+		r.CPU += int64(load * float64(spec.Resources.CPU))
+		r.MemoryMB += int64(load * float64(spec.Resources.MemoryMB))
+	}
+	s.recent = append(s.recent, arrival{s.o.Clock(), r})
+}
+
+// arriving returns the work that came in the last second, as the room that it
+// would fill for one second.
+func (s *Shard) arriving() (r job.Resources) {
+	now := s.o.Clock()
+	for len(s.recent) > 0 && now-s.recent[0].at > arrivalWindow {
+		s.recent = s.recent[1:]
+	}
+	for _, a := range s.recent {
+		r = r.Plus(a.r)
+	}
+	return r
+}
--- a/peridotcrank/jobproc/fleet.go
+++ b/peridotcrank/jobproc/fleet.go
@@ -66,7 +66,8 @@
 		return maintenance.Demand{}, fmt.Errorf("report of pool %s: %v", pool, answer.Code)
 	}
 	demand := maintenance.Demand{
-		Used: fromAmount(answer.Report.Used), Waiting: fromAmount(answer.Report.Waiting), Workers: map[worker.ID]maintenance.Use{},
+		Used: fromAmount(answer.Report.Used), Waiting: fromAmount(answer.Report.Waiting), Late: fromAmount(answer.Report.Late),
+		Arriving: fromAmount(answer.Report.Arriving), Workers: map[worker.ID]maintenance.Use{},
 	}
 	for _, w := range answer.Report.Workers {
 		demand.Workers[worker.ID(w.Id)] = maintenance.Use{Tasks: int(w.Tasks), Lasting: int(w.Lasting), Vacated: w.Vacated}
@@ -83,7 +84,7 @@
 	if !ok {
 		return &jobpb.Reply{Code: jobpb.Code_CODE_REFUSED}
 	}
-	record := &jobpb.Report{Used: toAmount(r.Used), Waiting: toAmount(r.Waiting)}
+	record := &jobpb.Report{Used: toAmount(r.Used), Waiting: toAmount(r.Waiting), Late: toAmount(r.Late), Arriving: toAmount(r.Arriving)}
 	for _, use := range r.Workers {
 		record.Workers = append(record.Workers, &jobpb.WorkerUse{
 			Id: string(use.ID), Tasks: int32(use.Tasks), Lasting: int32(use.Lasting), Vacated: use.Vacated,
