Do not renew the lease of a worker that does not answer

Cause: each unanswered hold put off the time from which the worker's tasks may start elsewhere, so they never did until the worker came back or another owner took over. Ruled out: the registry, which lists dark workers for three heartbeats.

--- /dev/null
+++ b/jobs/rows/rowstest/doc.go
@@ -0,0 +1,2 @@
+// Package rowstest is an in-memory store for tests, with faults.
+package rowstest
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -104,7 +104,9 @@
 		return // The commit under way sends the acknowledgement with the next hold.
 	}
 	order := worker.Hold{Fence: s.o.Fence, AckedUpTo: w.committed}
-	if w.clock > 0 {
+	// A worker that did not answer is only asked: a renewal that it may have got
+	// would put off the time from which its tasks may start elsewhere.
+	if w.clock > 0 && w.failures == 0 {
 		order.Due = max(w.clockNow(now)+s.o.HoldFor, w.maxDue)
 		w.maxDue = order.Due
 		order.Wait = holdWait
