Keep the lives of a worker apart, and settle starts that outlive one

Each life has a state of its own now. Cause 2: a start without answer may reach the next life of the worker, which knows nothing of the stop (TestLateStartReachesNextLife). Ruled out: a late hold that reaches the next life; no caller can prevent it.

--- a/jobs/rows/rowstest/store.go
+++ b/jobs/rows/rowstest/store.go
@@ -92,6 +92,13 @@
 	s.fault = choose
 }
 
+// Locked runs f while no fault is being chosen.
+func (s *Store) Locked(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
 func (s *Store) chooseFault(tx rows.Tx) Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -87,6 +87,8 @@
 
 	orderTimeout = 700 * time.Millisecond
 	orderRetry   = 250 * time.Millisecond
+	// lateOrderLimit is how late an order without an answer may be carried out.
+	lateOrderLimit = 15 * time.Second
 	// holdWait is how long a worker may wait for an end before it answers a hold.
 	holdWait     = time.Second
 	holdWaitIdle = 2 * time.Second
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -19,6 +19,7 @@
 	w.maxDue = due
 	order := worker.Start{Task: a.ref, Run: run, Spec: t.step.job.job.Spec, Due: due, Fence: s.o.Fence, Saved: t.saved}
 	t.step.job.started = true
+	w.unanswered[a.key()] = now
 	to := w.target()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
@@ -29,6 +30,9 @@
 }
 
 func (s *Shard) startAnswered(a *attempt, clock worker.Clock, err error) {
+	if err == nil || worker.Refused(err) {
+		delete(a.worker.unanswered, a.key())
+	}
 	if s.stopped || a.worker.attempts[a.key()] != a {
 		return
 	}
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -163,6 +164,7 @@
 		time.Sleep(time.Second)
 		assert.Equal(t, r.submit(o, simpleJob(1, 2)).Code, OK)
 		time.Sleep(500 * time.Millisecond)
+		r.infos = slices.Clone(r.infos)
 		r.infos[0].Born = 2
 		r.fleet.Add(r.infos[0])
 		r.do(func() { o.SetWorkers(r.infos) })
@@ -170,6 +172,34 @@
 	})
 }
 
+// Guards against a start without answer that reaches a later life of the worker
+// after the task was started again.
+func TestLateStartReachesNextLife(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(1)
+		r.fleet.OutlivesWorker = true
+		r.fleet.SetBehaviour(func(job.TaskRef, int) workertest.Plan { return workertest.Plan{Duration: 20 * time.Second} })
+		o := r.own()
+		time.Sleep(time.Second)
+		first := true
+		r.fleet.SetFault(func(_ worker.ID, order string) workertest.Fault {
+			if order == "start" && first {
+				first = false
+				return workertest.Delayed
+			}
+			return workertest.None
+		})
+		assert.Equal(t, r.submit(o, simpleJob(1, 1)).Code, OK)
+		time.Sleep(500 * time.Millisecond)
+		r.infos = slices.Clone(r.infos)
+		r.infos[0].Born = 2
+		r.fleet.Add(r.infos[0])
+		r.do(func() { o.SetWorkers(r.infos) })
+		r.await(o, 1, job.Completed, 40*time.Second)
+		assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testID(1)}), 1)
+	})
+}
+
 // Guards against tasks that go on after a cancelling was acknowledged, and
 // against a start in flight that outlives it.
 func TestCancel(t *testing.T) {
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -182,6 +182,10 @@
 	clockAt time.Duration // When the reading arrived.
 	maxDue  worker.Clock  // Latest end of its lease that was sent.
 
+	// unanswered are starts without an answer, by when they were sent. They may
+	// be carried out late, also by a later life of the worker.
+	unanswered map[runKey]time.Duration
+
 	processed uint64 // Number of the last end that was applied.
 	committed uint64 // Number of the last end whose consequences are committed.
 	holding   bool
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -38,7 +38,7 @@
 		w.accounted = true // It is new: no former owner recorded it.
 	}
 	if w.info.Born != 0 && info.Born > w.info.Born {
-		s.reborn(w, info.Born)
+		w = s.reborn(w, info.Born)
 	}
 	w.info, w.registered = info, true
 	if !w.recorded && !w.recording {
@@ -49,21 +49,40 @@
 }
 
 func (s *Shard) addWorker(info worker.Info) *workerState {
-	w := &workerState{info: info, attempts: map[runKey]*attempt{}}
+	w := &workerState{info: info, attempts: map[runKey]*attempt{}, unanswered: map[runKey]time.Duration{}}
 	s.workers[info.ID] = w
 	return w
 }
 
-// reborn starts a worker's state anew: nothing of its former life runs on.
-func (s *Shard) reborn(w *workerState, born int64) {
-	s.record(eventlog.WorkerReborn, eventlog.Fields{"worker": w.info.ID, "runs": len(w.attempts)})
-	s.dropAttempts(w)
-	s.account(w)
+// reborn replaces a worker by its next life. The state of the former one is
+// left to calls and transactions that still refer to it.
+func (s *Shard) reborn(former *workerState, born int64) *workerState {
+	s.record(eventlog.WorkerReborn, eventlog.Fields{"worker": former.info.ID, "runs": len(former.attempts)})
+	s.dropAttempts(former)
+	s.account(former)
+	w := s.addWorker(former.info)
 	w.info.Born = born
-	w.clock, w.clockAt, w.maxDue = 0, 0, 0
-	w.processed, w.committed = 0, 0
-	w.recorded, w.recording = false, true
+	w.registered, w.accounted, w.vacating = former.registered, true, former.vacating
+	w.recording = true
 	s.journal.records = append(s.journal.records, w)
+	w.unanswered = former.unanswered
+	s.stopUnanswered(w)
+	return w
+}
+
+// stopUnanswered stops runs whose start may still reach a new life of a worker,
+// which knows nothing of the stops that its former life was told.
+func (s *Shard) stopUnanswered(w *workerState) {
+	now := s.o.Clock()
+	for key, sent := range w.unanswered {
+		if now-sent > lateOrderLimit {
+			delete(w.unanswered, key)
+			continue
+		}
+		a := &attempt{ref: key.task, run: key.run, worker: w, phase: stopping}
+		w.attempts[key] = a
+		s.stop(a)
+	}
 }
 
 func (s *Shard) dropAttempts(w *workerState) {
@@ -135,7 +154,7 @@
 	}
 	w.failures = 0
 	if status.Born != 0 && w.info.Born != 0 && status.Born != w.info.Born {
-		s.reborn(w, status.Born)
+		w = s.reborn(w, status.Born)
 	}
 	first := w.clock == 0
 	w.observe(status.Clock, s.o.Clock())
--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -36,12 +36,16 @@
 	// Delay is how long a delayed order takes. Default 4 s.
 	Delay time.Duration
 
+	// OutlivesWorker lets delayed orders reach a later life of the worker. A hold
+	// never does: nothing could prevent that it acknowledges ends of that life.
+	OutlivesWorker bool
+
 	mu         sync.Mutex
 	behave     func(task job.TaskRef, run int) Plan
 	fault      func(id worker.ID, order string) Fault
 	began      time.Time
 	workers    map[worker.ID]*simulated
-	done       map[job.TaskRef]time.Time
+	done       map[job.TaskRef]*doneEnd
 	starts     map[job.TaskRef]int
 	violations []string
 }
@@ -52,6 +56,17 @@
 	stopTime = 50 * time.Millisecond
 )
 
+// doneEnd is the end of a task as done. It binds nobody once the lease of its
+// worker has passed before it was acknowledged.
+type doneEnd struct {
+	worker *simulated
+	number uint64
+	acked  bool
+	void   bool
+	// startedAfter describes a later start; it breaks a guarantee if the end is acknowledged.
+	startedAfter string
+}
+
 type run struct {
 	task   job.TaskRef
 	number int
@@ -61,6 +76,7 @@
 type simulated struct {
 	info    worker.Info
 	dark    bool
+	gone    bool // Another life took its place.
 	fence   uint64
 	due     time.Duration
 	lease   *time.Timer
@@ -78,7 +94,7 @@
 func New(behave func(job.TaskRef, int) Plan) *Fleet {
 	return &Fleet{
 		behave: behave, began: time.Now(), workers: map[worker.ID]*simulated{},
-		done: map[job.TaskRef]time.Time{}, starts: map[job.TaskRef]int{},
+		done: map[job.TaskRef]*doneEnd{}, starts: map[job.TaskRef]int{},
 	}
 }
 
@@ -106,6 +122,13 @@
 	f.fault = choose
 }
 
+// Locked runs g while no fault is being chosen.
+func (f *Fleet) Locked(g func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g()
+}
+
 // SetDark cuts a worker off, or brings it back; its runs go on.
 func (f *Fleet) SetDark(id worker.ID, dark bool) {
 	f.mu.Lock()
@@ -150,7 +173,16 @@
 	f.violations = append(f.violations, fmt.Sprintf("%v: ", f.now())+fmt.Sprintf(format, args...))
 }
 
+// forget releases the system from ends of a worker that were not acknowledged.
+func (f *Fleet) forget(w *simulated) {
+	for _, end := range f.done {
+		end.void = end.void || end.worker == w && !end.acked
+	}
+}
+
 func (f *Fleet) kill(w *simulated) {
+	f.forget(w)
+	w.gone = true
 	for _, r := range w.runs {
 		r.timer.Stop()
 	}
@@ -174,7 +206,11 @@
 		time.AfterFunc(delay, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			_ = order(w) // Nobody waits for the answer.
+			reached := f.workers[to.ID]
+			if reached.dark || reached != w && (!f.OutlivesWorker || name == "hold") {
+				return
+			}
+			_ = order(reached) // Nobody waits for the answer.
 		})
 	}
 	if unreachable || fault == Delayed {
@@ -227,8 +263,11 @@
 }
 
 func (f *Fleet) checkStart(w *simulated, order worker.Start) {
-	if at, ok := f.done[order.Task]; ok {
-		f.violate("%v run %d starts on %s after it was done at %v", order.Task, order.Run, w.info.ID, at.Sub(f.began))
+	if end := f.done[order.Task]; end != nil && !end.void {
+		end.startedAfter = fmt.Sprintf("%v run %d starts on %s after it was done on %s", order.Task, order.Run, w.info.ID, end.worker.info.ID)
+		if end.acked {
+			f.violate("%s", end.startedAfter)
+		}
 	}
 	for _, other := range f.workers {
 		if r := other.runs[order.Task]; r != nil {
@@ -249,10 +288,10 @@
 func (f *Fleet) end(w *simulated, r *run, how worker.How) {
 	r.timer.Stop()
 	delete(w.runs, r.task)
+	w.number++
 	if how == worker.Done {
-		f.done[r.task] = time.Now()
+		f.done[r.task] = &doneEnd{worker: w, number: w.number}
 	}
-	w.number++
 	w.ended = append(w.ended, worker.End{Number: w.number, Task: r.task, Run: r.number, How: how})
 	if w.changed != nil {
 		close(w.changed)
@@ -272,6 +311,7 @@
 	w.lease = time.AfterFunc(due-f.now(), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		f.forget(w)
 		for _, r := range w.runs {
 			f.end(w, r, worker.Lapsed)
 		}
@@ -334,12 +374,21 @@
 		w.ended = w.ended[1:]
 	}
 	w.acked = max(w.acked, upTo)
+	for _, end := range f.done {
+		if end.worker != w || end.acked || end.void || end.number > upTo {
+			continue
+		}
+		end.acked = true
+		if end.startedAfter != "" {
+			f.violate("%s", end.startedAfter)
+		}
+	}
 }
 
 func (f *Fleet) status(ctx context.Context, w *simulated) (worker.Status, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if w.dark {
+	if w.dark || w.gone {
 		f.mu.Unlock()
 		<-ctx.Done()
 		f.mu.Lock()
