Renew at once after a renewal failed, and test ownership, planner, relay and ingress

Cause: after a lost answer a process waited for its next renewal while its right ran out (TestLostAnswersDoNotEndTheRight: no right for up to 1 s each 2 s).

--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -106,6 +106,11 @@
 
 func (m *Manager) tick() {
 	m.o.Loop.After(m.o.Interval, m.tick)
+	m.begin()
+}
+
+// begin starts a renewal and a reading, unless one is under way.
+func (m *Manager) begin() {
 	if m.busy {
 		return
 	}
@@ -153,6 +158,9 @@
 	default:
 		m.adopt(result.Found)
 	}
+	if err != nil || !result.Applied {
+		m.o.Loop.After(renewPause, m.begin)
+	}
 	m.read()
 }
 
--- /dev/null
+++ b/jobs/cluster/manager_test.go
@@ -0,0 +1,229 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/jobs/loop"
+	"peridotcrank.dev/jobs/rows"
+	"peridotcrank.dev/jobs/rows/rowstest"
+)
+
+// member is a process with a store of its own view, so that faults hit it alone.
+type member struct {
+	*Manager
+	name      string
+	store     *faulty
+	owns      map[string]bool
+	directory Directory
+}
+
+// faulty passes calls to a shared store, unless this member is cut off.
+type faulty struct {
+	*rowstest.Store
+	cut atomic.Uint32 // A rowstest.Fault.
+}
+
+func (f *faulty) set(fault rowstest.Fault) { f.cut.Store(uint32(fault)) }
+
+func (f *faulty) fault() rowstest.Fault { return rowstest.Fault(f.cut.Load()) }
+
+func (f *faulty) Commit(ctx context.Context, tx rows.Tx) (rows.Result, error) {
+	switch f.fault() {
+	case rowstest.Silent:
+		<-ctx.Done()
+		return rows.Result{}, rowstest.ErrNoAnswer
+	case rowstest.Lost:
+		if _, err := f.Store.Commit(ctx, tx); err != nil {
+			return rows.Result{}, err
+		}
+		<-ctx.Done()
+		return rows.Result{}, rowstest.ErrNoAnswer
+	}
+	return f.Store.Commit(ctx, tx)
+}
+
+func (f *faulty) Read(ctx context.Context, table, part, from string) (rows.Page, error) {
+	if f.fault() == rowstest.Silent {
+		<-ctx.Done()
+		return rows.Page{}, rowstest.ErrNoAnswer
+	}
+	return f.Store.Read(ctx, table, part, from)
+}
+
+func (m *member) Acquired(shard string, _ uint64) { m.owns[shard] = true }
+func (m *member) Released(shard string)           { delete(m.owns, shard) }
+func (m *member) Renewed(error)                   {}
+func (m *member) DirectoryChanged(d Directory)    { m.directory = d }
+
+// acts reports whether the member may act for a shard.
+func (m *member) acts(shard string) bool { return m.owns[shard] && m.HasRight() }
+
+type group struct {
+	t       *testing.T
+	loop    *loop.Loop
+	store   *rowstest.Store
+	members []*member
+	shards  []string
+}
+
+func withGroup(t *testing.T, n int, test func(*group)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		g := &group{t: t, loop: loop.New(), store: &rowstest.Store{Latency: 4 * time.Millisecond}, shards: []string{"a", "b", "c"}}
+		go g.loop.Run(ctx)
+		for range n {
+			g.add()
+		}
+		defer func() {
+			cancel()
+			time.Sleep(5 * time.Second)
+		}()
+		test(g)
+	})
+}
+
+func (g *group) add() *member {
+	m := &member{name: fmt.Sprintf("m%d", len(g.members)), store: &faulty{Store: g.store}, owns: map[string]bool{}}
+	began := time.Now()
+	manager, err := New(Options{
+		Member: m.name, Incarnation: m.name + "-1", Address: m.name, Store: m.store, Loop: g.loop, Listener: m,
+		Clock: func() time.Duration { return time.Since(began) + time.Second },
+	})
+	assert.NilError(g.t, err)
+	m.Manager = manager
+	g.members = append(g.members, m)
+	g.do(func() {
+		m.SetShards(g.shards)
+		m.Start()
+	})
+	return m
+}
+
+func (g *group) do(f func()) { g.loop.Call(context.Background(), f) }
+
+// watch lets time pass and fails when two members may act for one shard.
+func (g *group) watch(d time.Duration) {
+	g.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		g.do(func() {
+			for _, shard := range g.shards {
+				if n := len(g.actors(shard)); n > 1 {
+					g.t.Errorf("%d members may act for shard %s", n, shard)
+				}
+			}
+		})
+	}
+}
+
+func (g *group) actors(shard string) (actors []*member) {
+	for _, m := range g.members {
+		if m.acts(shard) {
+			actors = append(actors, m)
+		}
+	}
+	return actors
+}
+
+func (g *group) actor(shard string) (actor *member) {
+	g.do(func() {
+		if actors := g.actors(shard); len(actors) == 1 {
+			actor = actors[0]
+		}
+	})
+	return actor
+}
+
+const takeoverLimit = 5 * time.Second
+
+// Guards against shards that nobody owns, and against one process that owns all.
+func TestShardsAreSpread(t *testing.T) {
+	withGroup(t, 3, func(g *group) {
+		g.watch(4 * time.Second)
+		for _, m := range g.members {
+			assert.Equal(t, len(m.owns), 1, m.name)
+			assert.Equal(t, len(m.directory), 3)
+		}
+	})
+}
+
+// Guards against two owners at a time when one is cut off from the store, and
+// against a shard without owner afterwards.
+func TestCutMemberLosesItsShards(t *testing.T) {
+	withGroup(t, 3, func(g *group) {
+		g.watch(4 * time.Second)
+		former := g.actor("a")
+		former.store.set(rowstest.Silent)
+		g.watch(takeoverLimit)
+		next := g.actor("a")
+		assert.Assert(t, next != nil && next != former)
+		former.store.set(rowstest.None)
+		g.watch(takeoverLimit)
+		assert.Assert(t, !former.owns["a"])
+	})
+}
+
+// Guards against a member that loses its right because the answers to its
+// renewals are lost, although they take effect.
+func TestLostAnswersDoNotEndTheRight(t *testing.T) {
+	withGroup(t, 2, func(g *group) {
+		g.watch(4 * time.Second)
+		owner := g.actor("a")
+		n := 0
+		for range 10 {
+			n++
+			owner.store.set(rowstest.Lost)
+			g.watch(1200 * time.Millisecond)
+			owner.store.set(rowstest.None)
+			g.watch(800 * time.Millisecond)
+		}
+		assert.Assert(t, g.actor("a") == owner, "the shard changed its owner")
+	})
+}
+
+// Guards against shards that stay with a process that has left.
+func TestLeaveHandsOver(t *testing.T) {
+	withGroup(t, 2, func(g *group) {
+		g.watch(4 * time.Second)
+		owner := g.actor("a")
+		g.do(func() { owner.Leave(func() {}) })
+		g.watch(2 * time.Second)
+		next := g.actor("a")
+		assert.Assert(t, next != nil && next != owner)
+	})
+}
+
+// Guards against a store outage after which shards have two owners or none.
+func TestOutageOfTheStore(t *testing.T) {
+	withGroup(t, 3, func(g *group) {
+		g.watch(4 * time.Second)
+		for _, m := range g.members {
+			m.store.set(rowstest.Silent)
+		}
+		g.watch(9 * time.Second)
+		for _, m := range g.members {
+			m.store.set(rowstest.None)
+		}
+		g.watch(takeoverLimit)
+		for _, shard := range g.shards {
+			assert.Assert(t, g.actor(shard) != nil, shard)
+		}
+	})
+}
+
+// Guards against processes that disagree on who takes a vacant shard.
+func TestAssignIsBalanced(t *testing.T) {
+	to := assign([]string{"a", "b", "c", "d"}, []string{"x", "y"}, map[string]int{"x": 2})
+	load := map[string]int{"x": 2}
+	for _, m := range to {
+		load[m]++
+	}
+	assert.DeepEqual(t, load, map[string]int{"x": 3, "y": 3})
+	assert.DeepEqual(t, assign([]string{"b", "a"}, []string{"y", "x"}, nil), assign([]string{"a", "b"}, []string{"x", "y"}, nil))
+}
--- a/jobs/cluster/options.go
+++ b/jobs/cluster/options.go
@@ -26,7 +26,7 @@
 	Interval time.Duration
 	// RightFor is how long a renewal permits to act. Default 3 s.
 	RightFor time.Duration
-	// CallTimeout bounds one call to the store. Default 1 s.
+	// CallTimeout bounds one call to the store. Default 700 ms.
 	CallTimeout time.Duration
 	// Listener hears of changes. Required.
 	Listener Listener
@@ -47,7 +47,9 @@
 const (
 	defaultInterval    = 800 * time.Millisecond
 	defaultRightFor    = 3 * time.Second
-	defaultCallTimeout = time.Second
+	defaultCallTimeout = 700 * time.Millisecond
+	// renewPause is the time from a renewal that failed to the next one.
+	renewPause = 100 * time.Millisecond
 	// takeoverMargin is added to a right before it is taken as passed: it covers
 	// clocks that differ by up to 2 % and the time between a reading and its use.
 	takeoverMargin = 300 * time.Millisecond
--- /dev/null
+++ b/jobs/ingress/ingress_test.go
@@ -0,0 +1,80 @@
+package ingress
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/cluster"
+	"peridotcrank.dev/jobs/jobpb"
+	"peridotcrank.dev/jobs/relay"
+)
+
+// Guards against a request that a shorter prefix takes from a longer one.
+func TestLongestPrefixWins(t *testing.T) {
+	table := NewTable([]Route{{Queue: "short", Host: "h", Prefix: "/a/"}, {Queue: "long", Host: "h", Prefix: "/a/b/"}})
+	route, found := table.Find("h", "/a/b/1")
+	assert.Assert(t, found && route.Queue == "long")
+	route, found = table.Find("h", "/a/c")
+	assert.Assert(t, found && route.Queue == "short")
+	_, found = table.Find("other", "/a/b/1")
+	assert.Assert(t, !found)
+}
+
+// callOwner makes a call to a local owner that answers as told, within 2 s.
+func callOwner(t *testing.T, kind jobpb.Call, answers ...*jobpb.Reply) (reply *jobpb.Reply, took time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := 0
+		f := NewForwarder(Options{
+			Local: func(ctx context.Context, _ *jobpb.Request) *jobpb.Reply {
+				answer := answers[min(n, len(answers)-1)]
+				n++
+				if answer == nil {
+					<-ctx.Done()
+				}
+				return answer
+			},
+			Client: relay.NewClient(), Refresh: func() {}, Recorder: eventlog.Discard,
+		})
+		f.SetDirectory(cluster.Directory{"s": {Self: true}})
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		began := time.Now()
+		reply = f.Call(ctx, &jobpb.Request{Call: kind, Shard: "s"})
+		took = time.Since(began)
+	})
+	return reply, took
+}
+
+var (
+	ok       = &jobpb.Reply{Code: jobpb.Code_CODE_OK}
+	refused  = &jobpb.Reply{Code: jobpb.Code_CODE_REFUSED}
+	notOwner = &jobpb.Reply{Code: jobpb.Code_CODE_NOT_OWNER}
+)
+
+// Guards against a submission that is called refused although an earlier
+// attempt without answer may have been stored.
+func TestSubmissionAfterSilenceIsNeverRefused(t *testing.T) {
+	reply, _ := callOwner(t, jobpb.Call_CALL_SUBMIT, nil, refused)
+	assert.Equal(t, reply.Code, jobpb.Code_CODE_UNKNOWN)
+	reply, _ = callOwner(t, jobpb.Call_CALL_SUBMIT, nil, ok)
+	assert.Equal(t, reply.Code, jobpb.Code_CODE_OK)
+}
+
+// Guards against a refusal that comes only when the caller's time is used up.
+func TestSubmissionWithoutOwnerIsRefusedSoon(t *testing.T) {
+	reply, took := callOwner(t, jobpb.Call_CALL_SUBMIT, notOwner)
+	assert.Equal(t, reply.Code, jobpb.Code_CODE_REFUSED)
+	assert.Assert(t, took < 300*time.Millisecond, "%v", took)
+}
+
+// Guards against a state that is not answered although a new owner comes in time.
+func TestStateWaitsForAnOwner(t *testing.T) {
+	reply, _ := callOwner(t, jobpb.Call_CALL_STATE, notOwner, refused, nil, ok)
+	assert.Equal(t, reply.Code, jobpb.Code_CODE_OK)
+}
--- /dev/null
+++ b/jobs/maintenance/planner_test.go
@@ -0,0 +1,119 @@
+package maintenance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/worker"
+)
+
+var vmCapacity = job.Resources{CPU: 32000, MemoryMB: 65536}
+
+// fleetOf returns VMs of pools, all up and idle.
+func fleetOf(sizes map[string]int) Snapshot {
+	s := Snapshot{Demands: map[string]Demand{}, Peaks: map[string]float64{}, Pending: map[string]Decision{}, Spare: "spare"}
+	for _, pool := range []string{"a", "b", "c", "spare"} {
+		d := Demand{Workers: map[worker.ID]Use{}}
+		for i := range sizes[pool] {
+			id := worker.ID(fmt.Sprintf("w-%s-%d", pool, i))
+			s.Machines = append(s.Machines, Machine{
+				Name: fmt.Sprintf("%s-%d", pool, i), Pool: pool, State: Up, Capacity: vmCapacity, Worker: id,
+			})
+			d.Workers[id] = Use{}
+		}
+		if pool != "spare" {
+			s.Demands[pool] = d
+		}
+	}
+	return s
+}
+
+func demand(s Snapshot, pool string, cores int64) {
+	d := s.Demands[pool]
+	d.Waiting = job.Resources{CPU: cores * 1000}
+	s.Demands[pool] = d
+}
+
+func count(decisions []Decision, kind Kind, pool string) (n int) {
+	for _, d := range decisions {
+		if d.Kind == kind && d.Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a surge that is served by its own pool alone.
+func TestSurgeGetsIdleVMs(t *testing.T) {
+	s := fleetOf(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 8})
+	demand(s, "a", 700)
+	decisions := Plan(s)
+	assert.Equal(t, count(decisions, Move, "a"), 15) // 700 cores fill 24.3 VMs at 90 %.
+	for _, d := range decisions {
+		assert.Assert(t, d.Machine[0] != 'a')
+	}
+}
+
+// Guards against pools that give away the VMs they need.
+func TestPoolsKeepWhatTheyNeed(t *testing.T) {
+	s := fleetOf(map[string]int{"a": 9, "b": 9, "c": 9})
+	demand(s, "a", 700)
+	demand(s, "b", 250)
+	left := map[string]int{"b": 9, "c": 9}
+	for _, d := range Plan(s) {
+		left[d.Machine[:1]]--
+	}
+	assert.Equal(t, left["b"], 9)
+	assert.Equal(t, left["c"], minPoolVMs)
+}
+
+// Guards against VMs with long-running tasks, or of an unknown use, that are moved.
+func TestVMsInUseStay(t *testing.T) {
+	s := fleetOf(map[string]int{"a": 2, "b": 9})
+	demand(s, "a", 900)
+	for i := range 9 {
+		id := worker.ID(fmt.Sprintf("w-b-%d", i))
+		s.Demands["b"].Workers[id] = Use{Tasks: 1, Lasting: 1}
+	}
+	assert.Equal(t, len(Plan(s)), 0)
+	delete(s.Demands["b"].Workers, "w-b-0")
+	assert.Equal(t, len(Plan(s)), 0)
+}
+
+// Guards against more VMs of a wave away at once than its cap, and against VMs
+// in use that are taken before time requires it.
+func TestWaveKeepsItsCap(t *testing.T) {
+	s := fleetOf(map[string]int{"a": 9, "b": 9})
+	names := []string{}
+	for i, m := range s.Machines {
+		names = append(names, m.Name)
+		if m.Pool == "a" {
+			s.Demands["a"].Workers[worker.ID(fmt.Sprintf("w-a-%d", i))] = Use{Tasks: 3}
+		}
+	}
+	w := WaveState{Wave: Wave{Number: 1, Machines: names, Cap: 4}, Done: map[string]bool{}, Deadline: time.Hour}
+	s.Waves = []WaveState{w}
+	decisions := Plan(s)
+	assert.Equal(t, len(decisions), 4)
+	for _, d := range decisions {
+		assert.Equal(t, d.Kind, Upkeep)
+		assert.Equal(t, d.Machine[0], byte('b'))
+	}
+	s.Waves[0].Underway = 3
+	assert.Equal(t, len(Plan(s)), 1)
+	s.Waves[0].Underway, s.Waves[0].Deadline = 0, deadlineReserve
+	assert.Equal(t, len(Plan(s)), 4)
+}
+
+// Guards against a second order for a VM that one is being carried out for.
+func TestPendingVMsAreLeftAlone(t *testing.T) {
+	s := fleetOf(map[string]int{"a": 1, "b": 4})
+	demand(s, "a", 60)
+	s.Pending["b-0"] = Decision{Machine: "b-0", Kind: Move, Pool: "a"}
+	decisions := Plan(s)
+	assert.Equal(t, len(decisions), 0, "%v", decisions) // The VM under way suffices, and b keeps three.
+}
--- /dev/null
+++ b/jobs/relay/relay_test.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/jobs/jobpb"
+)
+
+func listen(t *testing.T, handler Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := Serve(listener, handler)
+	t.Cleanup(func() { server.Close() })
+	return listener.Addr().String()
+}
+
+func call(t *testing.T, c *Client, address, id string, timeout time.Duration) (*jobpb.Reply, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	return c.Call(ctx, address, &jobpb.Request{Call: jobpb.Call_CALL_STATE, Id: id})
+}
+
+const generous = 5 * time.Second
+
+// Guards against an answer that reaches the caller of another request.
+func TestAnswersReachTheirCallers(t *testing.T) {
+	address := listen(t, func(_ context.Context, r *jobpb.Request) *jobpb.Reply {
+		return &jobpb.Reply{Code: jobpb.Code_CODE_OK, Detail: r.Id}
+	})
+	c := NewClient()
+	var group sync.WaitGroup
+	for i := range 50 {
+		group.Go(func() {
+			id := string(rune('a' + i))
+			reply, err := call(t, c, address, id, generous)
+			if err != nil || reply.Detail != id {
+				t.Errorf("call %s: %v, %v", id, reply, err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// Guards against a call that is reported as not sent although the peer may have got it.
+func TestCallsWithoutAnswerAreNotCalledUnsent(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	address := listen(t, func(_ context.Context, r *jobpb.Request) *jobpb.Reply {
+		if r.Id == "stuck" {
+			<-release
+		}
+		return &jobpb.Reply{Code: jobpb.Code_CODE_OK}
+	})
+	c := NewClient()
+	_, err := call(t, c, address, "stuck", 100*time.Millisecond)
+	assert.Assert(t, err != nil && !errors.Is(err, ErrNotSent), "%v", err)
+	_, err = call(t, c, address, "next", generous)
+	assert.NilError(t, err)
+}
+
+// Guards against a refused connection that is taken for an unknown outcome.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, err = call(t, NewClient(), address, "x", generous)
+	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+}
