--- a/jobs/cluster/assign.go
+++ b/jobs/cluster/assign.go
@@ -6,20 +6,25 @@
 	"strings"
 )
 
-// assign spreads vacant shards over members: each goes to the member with the
-// fewest shards, ties by a hash of both names, so that all processes with the
-// same view agree.
-func assign(vacant, members []string, owned map[string]int) map[string]string {
-	load := map[string]int{}
-	for _, m := range members {
-		load[m] = owned[m]
+// assign spreads vacant shards over members: each goes to the member that then
+// has the most processor for each of its shards, ties by a hash of both names,
+// so that all processes with the same view agree.
+func assign(vacant []string, members map[string]int64, owned map[string]int) map[string]string {
+	load := map[string]int64{}
+	for m := range members {
+		load[m] = int64(owned[m])
 	}
-	vacant = slices.Sorted(slices.Values(vacant))
 	to := map[string]string{}
-	for _, shard := range vacant {
+	for _, shard := range slices.Sorted(slices.Values(vacant)) {
 		best := ""
-		for _, m := range members {
-			if best == "" || load[m] < load[best] || load[m] == load[best] && before(shard, m, best) {
+		for m, cpu := range members {
+			if best == "" {
+				best = m
+				continue
+			}
+			// Compares cpu/(load+1) without division.
+			mine, others := cpu*(load[best]+1), members[best]*(load[m]+1)
+			if mine > others || mine == others && before(shard, m, best) {
 				best = m
 			}
 		}
--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -124,7 +124,7 @@
 
 func (m *Manager) renew() {
 	m.beat++
-	record := &jobpb.Member{Incarnation: m.incarnation, Address: m.o.Address, Beat: m.beat, Leaving: m.leaving}
+	record := &jobpb.Member{Incarnation: m.incarnation, Address: m.o.Address, Beat: m.beat, Leaving: m.leaving, CpuMilli: m.o.CPU}
 	value, err := proto.Marshal(record)
 	if err != nil {
 		m.renewed(0, rows.Result{}, err)
@@ -315,13 +315,15 @@
 	return now-member.seen > m.o.RightFor+takeoverMargin
 }
 
-func (m *Manager) alive(now time.Duration) (names []string) {
+// alive returns the members that may take shards, with their processor.
+func (m *Manager) alive(now time.Duration) map[string]int64 {
+	members := map[string]int64{}
 	for name, row := range m.members {
 		if !row.record.Leaving && (now-row.seen < aliveWindow || name == m.o.Member) {
-			names = append(names, name)
+			members[name] = max(row.record.CpuMilli, 1)
 		}
 	}
-	return names
+	return members
 }
 
 func (m *Manager) takeVacant(now time.Duration) {
--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -93,7 +93,7 @@
 	m := &member{name: fmt.Sprintf("m%d", len(g.members)), store: &faulty{Store: g.store}, owns: map[string]bool{}}
 	began := time.Now()
 	manager, err := New(Options{
-		Member: m.name, Incarnation: m.name + "-1", Address: m.name, Store: m.store, Loop: g.loop, Listener: m,
+		Member: m.name, Incarnation: m.name + "-1", Address: m.name, CPU: 400, Store: m.store, Loop: g.loop, Listener: m,
 		Clock: func() time.Duration { return time.Since(began) + time.Second },
 	})
 	assert.NilError(g.t, err)
@@ -219,11 +219,20 @@
 
 // Guards against processes that disagree on who takes a vacant shard.
 func TestAssignIsBalanced(t *testing.T) {
-	to := assign([]string{"a", "b", "c", "d"}, []string{"x", "y"}, map[string]int{"x": 2})
+	members := map[string]int64{"x": 400, "y": 400}
+	to := assign([]string{"a", "b", "c", "d"}, members, map[string]int{"x": 2})
 	load := map[string]int{"x": 2}
 	for _, m := range to {
 		load[m]++
 	}
 	assert.DeepEqual(t, load, map[string]int{"x": 3, "y": 3})
-	assert.DeepEqual(t, assign([]string{"b", "a"}, []string{"y", "x"}, nil), assign([]string{"a", "b"}, []string{"x", "y"}, nil))
+	assert.DeepEqual(t, assign([]string{"b", "a"}, members, nil), assign([]string{"a", "b"}, members, nil))
+}
+
+// Guards against shards on small processes while large ones have few.
+func TestAssignPrefersLargeProcesses(t *testing.T) {
+	members := map[string]int64{"large": 800, "small": 192, "other": 192}
+	for _, m := range assign([]string{"a", "b", "c", "d"}, members, nil) {
+		assert.Equal(t, m, "large")
+	}
 }
--- a/jobs/cluster/options.go
+++ b/jobs/cluster/options.go
@@ -16,6 +16,9 @@
 	Incarnation string
 	// Address is where peers reach this process. Required.
 	Address string
+	// CPU is the processor that this process may use, in thousandths of a core;
+	// shards go to processes with much of it. Required.
+	CPU int64
 	// Store keeps the rows. Required.
 	Store rows.Store
 	// Loop runs the manager. Required.
@@ -66,6 +69,9 @@
 	if o.Member == "" || o.Incarnation == "" || o.Address == "" {
 		return errors.New("cluster: member, incarnation and address are required")
 	}
+	if o.CPU <= 0 {
+		return errors.New("cluster: the processor must be positive")
+	}
 	if o.Store == nil || o.Loop == nil || o.Clock == nil || o.Listener == nil {
 		return errors.New("cluster: store, loop, clock and listener are required")
 	}
--- a/jobs/maintenance/manager.go
+++ b/jobs/maintenance/manager.go
@@ -46,7 +46,7 @@
 	// moveVacateLimit is how long a move waits for its VM to be vacated.
 	moveVacateLimit = 2500 * time.Millisecond
 	// peakWindow is how long a pool keeps the room that it needed last.
-	peakWindow = 2500 * time.Millisecond
+	peakWindow = 6 * time.Second
 	// fenceShift leaves room for the numbers of orders below the version of the ownership.
 	fenceShift = 20
 	// backoff is how long a VM is left alone after an order was refused.
--- a/jobs/maintenance/planner_test.go
+++ b/jobs/maintenance/planner_test.go
@@ -52,6 +52,7 @@
 	s := fleetOf(map[string]int{"a": 9, "b": 9, "c": 9, "spare": 8})
 	demand(s, "a", 700)
 	decisions := Plan(s)
+	assert.Equal(t, count(decisions, Move, "spare"), 0)
 	assert.Equal(t, count(decisions, Move, "a"), 15) // 700 cores fill 24.3 VMs at 90 %.
 	for _, d := range decisions {
 		assert.Assert(t, d.Machine[0] != 'a')
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -73,7 +73,7 @@
 	tickInterval = 100 * time.Millisecond
 	// commitGap is the least time between two transactions, so that ends and
 	// jobs that come together share one.
-	commitGap = 15 * time.Millisecond
+	commitGap = 35 * time.Millisecond
 	// commitTimeout bounds one attempt of a transaction.
 	commitTimeout = time.Second
 	// commitRetry is the pause before a transaction is sent again.
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -73,7 +73,7 @@
 	p.registry = newRegistry(p)
 	p.cluster, err = cluster.New(cluster.Options{
 		Member: string(s.Member), Incarnation: uuid.NewString(), Address: s.Listen.Peers.String(),
-		Store: p.store, Loop: p.loop, Clock: clock.Now, Listener: (*ownership)(p),
+		CPU: int64(s.CPU * coreMilli), Store: p.store, Loop: p.loop, Clock: clock.Now, Listener: (*ownership)(p),
 	})
 	if err != nil {
 		return nil, err
@@ -86,6 +86,7 @@
 }
 
 const (
+	coreMilli     = 1000
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
 	// rotationTime is how long the platform takes to notice that a process is not ready.
--- a/settings/jobs/settings.go
+++ b/settings/jobs/settings.go
@@ -15,7 +15,9 @@
 	// Member identifies the process. Required.
 	Member fleet.MemberID
 	// Zone is the availability zone of the process. Required.
-	Zone     fleet.ZoneID
+	Zone fleet.ZoneID
+	// CPU is the processor that the process may use, in cores. Required.
+	CPU      float64
 	Listen   Listen
 	Platform Platform
 	Leases   Leases
@@ -81,6 +83,7 @@
 func decode(root *strict.Map, s *Settings) {
 	strict.Required(root, "member", &s.Member, strict.Name[fleet.MemberID]())
 	strict.Required(root, "zone", &s.Zone, strict.Name[fleet.ZoneID]())
+	strict.Required(root, "cpu", &s.CPU, strict.Fraction())
 	listen := root.Map("listen")
 	strict.Required(listen, "callers", &s.Listen.Callers, strict.Address())
 	strict.Required(listen, "ready", &s.Listen.Ready, strict.Address())
@@ -108,6 +111,9 @@
 	if s.Leases.MaxHold < minHold && !document.Faulty("leases.max_hold") {
 		document.Add("leases.max_hold", fmt.Sprintf("%v is too short for renewals", s.Leases.MaxHold), fmt.Sprintf("at least %v", minHold))
 	}
+	if s.CPU <= 0 && !document.Faulty("cpu") {
+		document.Add("cpu", fmt.Sprintf("%v cores are not positive", s.CPU), "a positive number of cores")
+	}
 	for path, value := range map[string]time.Duration{"timing.grace": s.Timing.Grace, "timing.keep_ended": s.Timing.KeepEnded} {
 		if value <= 0 && !document.Faulty(path) {
 			document.Add(path, fmt.Sprintf("%v is not positive", value), "a positive duration")
