--- a/jobs/rows/watch.go
+++ b/jobs/rows/watch.go
@@ -13,6 +13,9 @@
 	Table string
 	// Changed is called with all rows by name after each change. The map is the callee's.
 	Changed func(map[string]Row)
+	// Gather is the time from a change to the next look for changes, so that
+	// those that come together take one call. 0 for none.
+	Gather time.Duration
 	// State is called with the error of a failed read, or nil after a read that succeeded.
 	State func(error)
 }
@@ -35,7 +38,11 @@
 		if known == nil {
 			known, version, err = w.readAll(ctx)
 		} else {
-			version, err = w.follow(ctx, known, version)
+			var changed bool
+			version, changed, err = w.follow(ctx, known, version)
+			if changed && w.Gather > 0 {
+				pause(ctx, w.Gather)
+			}
 		}
 		if errors.Is(err, ErrHistoryGone) {
 			known, err = nil, nil
@@ -69,12 +76,12 @@
 	return known, page.Version, nil
 }
 
-func (w *Watcher) follow(ctx context.Context, known map[string]Row, after Version) (Version, error) {
+func (w *Watcher) follow(ctx context.Context, known map[string]Row, after Version) (Version, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
 	defer cancel()
 	page, err := w.Store.Feed(ctx, w.Table, after, feedWait)
 	if err != nil {
-		return after, err
+		return after, false, err
 	}
 	changed := false
 	for _, row := range page.Rows {
@@ -91,5 +98,5 @@
 	if changed {
 		w.Changed(maps.Clone(known))
 	}
-	return max(page.Version, after), nil
+	return max(page.Version, after), changed, nil
 }
--- a/jobs/worker/worker.go
+++ b/jobs/worker/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"peridotcrank.dev/jobs/job"
@@ -31,8 +32,12 @@
 	Labels   []string
 	// Born is the time of the worker's start; it tells two lives under one id apart.
 	Born int64 // Unix milliseconds.
-	// Clock is the worker's steady clock when it wrote the entry.
-	Clock time.Duration
+}
+
+// Equal reports whether two entries say the same.
+func (i Info) Equal(o Info) bool {
+	return i.ID == o.ID && i.Pool == o.Pool && i.Address == o.Address && i.Zone == o.Zone && i.State == o.State &&
+		i.Capacity == o.Capacity && slices.Equal(i.Labels, o.Labels) && i.Born == o.Born
 }
 
 // Clock is a time on a worker's own steady clock.
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -141,7 +141,7 @@
 func (p *Process) watch(ctx context.Context) {
 	config := rows.Watcher{Store: p.store, Table: platform.OperatorTable, Changed: p.operatorChanged, State: p.feedState(platform.OperatorTable)}
 	go config.Run(ctx)
-	workers := rows.Watcher{Store: p.store, Table: platform.WorkerTable, Changed: p.registry.changed, State: p.registry.state}
+	workers := rows.Watcher{Store: p.store, Table: platform.WorkerTable, Changed: p.registry.changed, State: p.registry.state, Gather: gatherChanges}
 	go workers.Run(ctx)
 }
 
--- a/peridotcrank/jobproc/registry.go
+++ b/peridotcrank/jobproc/registry.go
@@ -12,20 +12,30 @@
 // returnTime is how long entries that lapsed while the store was away may take to come back.
 const returnTime = 2200 * time.Millisecond
 
+// gatherChanges joins changes of the registry. Every worker writes its entry at
+// each heartbeat.
+const gatherChanges = 250 * time.Millisecond
+
 // registry keeps the workers that the platform lists. Its methods run on the
 // watcher's goroutine; the pools that it hands out belong to the control loop.
 type registry struct {
 	process  *Process
 	feed     func(error)
-	entries  map[string]worker.Info
-	broken   map[string]bool
+	entries  map[string]registered
 	restored time.Time // When the store answered again after a failure.
 	failing  bool
 	current  map[string]rows.Row
 }
 
+// registered is an entry as it was decoded last.
+type registered struct {
+	version rows.Version
+	info    worker.Info
+	valid   bool
+}
+
 func newRegistry(p *Process) *registry {
-	return &registry{process: p, feed: p.feedState(platform.WorkerTable), entries: map[string]worker.Info{}, broken: map[string]bool{}}
+	return &registry{process: p, feed: p.feedState(platform.WorkerTable), entries: map[string]registered{}}
 }
 
 func (r *registry) state(err error) {
@@ -44,28 +54,48 @@
 // while after the store was away.
 func (r *registry) changed(table map[string]rows.Row) {
 	r.current = table
-	entries := map[string]worker.Info{}
-	if r.failing || !r.restored.IsZero() {
-		for name, info := range r.entries {
-			entries[name] = info
-		}
-	}
+	differs := false
 	for name, row := range table {
-		info, err := platform.DecodeWorker(row)
-		if err != nil {
-			if !r.broken[name] {
-				r.broken[name] = true
-				r.process.log.Record(eventlog.EntryUnreadable, eventlog.Fields{"entry": name, "error": err})
-			}
-			delete(entries, name)
+		last := r.entries[name]
+		if last.version == row.Version {
 			continue
 		}
-		entries[name] = info
+		next := r.decode(row)
+		differs = differs || next.valid != last.valid || !next.info.Equal(last.info)
+		r.entries[name] = next
 	}
-	r.entries = entries
+	if !r.failing && r.restored.IsZero() {
+		differs = r.dropMissing(table) || differs
+	}
+	if differs {
+		r.publish()
+	}
+}
+
+func (r *registry) decode(row rows.Row) registered {
+	info, err := platform.DecodeWorker(row)
+	if err != nil {
+		r.process.log.Record(eventlog.EntryUnreadable, eventlog.Fields{"entry": row.Name, "error": err})
+	}
+	return registered{row.Version, info, err == nil}
+}
+
+func (r *registry) dropMissing(table map[string]rows.Row) (dropped bool) {
+	for name := range r.entries {
+		if _, ok := table[name]; !ok {
+			delete(r.entries, name)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+func (r *registry) publish() {
 	pools := map[string][]worker.Info{}
-	for _, info := range entries {
-		pools[info.Pool] = append(pools[info.Pool], info)
+	for _, entry := range r.entries {
+		if entry.valid {
+			pools[entry.info.Pool] = append(pools[entry.info.Pool], entry.info)
+		}
 	}
 	r.process.loop.Post(func() { r.process.setWorkers(pools) })
 }
