Measure calls of the job process; add a stand-in of the platform and a soak

The stand-in speaks the published protocol over the in-memory fakes. The soak runs the real program as separate processes and injects faults from outside by seed: signals, a loopback proxy to the store, faults of the store and of workers.

--- a/eventlog/metrics/metrics.go
+++ b/eventlog/metrics/metrics.go
@@ -49,6 +49,9 @@
 	claims       *labelled
 	store        *labelled
 	peerMessages *labelled
+	jobCalls     *timed
+	workerOrders *timed
+	storeCalls   *timed
 
 	services cache[fleet.ServiceName, *Service]
 	queues   cache[fleet.PoolID, *Gauge]
@@ -109,7 +112,7 @@
 }
 
 func (m *Metrics) create(meter metric.Meter) error {
-	var errs [6]error
+	var errs [7]error
 	m.requests, errs[0] = meter.Int64Counter("requests", metric.WithDescription("Callers' requests by service and outcome."))
 	m.latency, errs[1] = meter.Float64Histogram("request.duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from the arrival of a request to its answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
@@ -117,6 +120,7 @@
 	m.retries, errs[3] = meter.Int64Counter("retries", metric.WithDescription("Requests sent again, by service."))
 	errs[4] = m.createLabelled(meter)
 	errs[5] = m.createGauges(meter)
+	errs[6] = m.createTimed(meter)
 	return errors.Join(errs[:]...)
 }
 
--- a/jobs/rows/rowstest/store.go
+++ b/jobs/rows/rowstest/store.go
@@ -122,6 +122,11 @@
 	return ErrNoAnswer
 }
 
+// Put writes a row without condition and without faults, as the platform or its operator do.
+func (s *Store) Put(row rows.Row) {
+	s.apply(rows.Tx{Set: []rows.Row{row}})
+}
+
 func (s *Store) apply(tx rows.Tx) rows.Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/peridotcrank/jobproc/observe.go
@@ -0,0 +1,109 @@
+package jobproc
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"peridotcrank.dev/eventlog/metrics"
+	"peridotcrank.dev/jobs/ingress"
+	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/jobpb"
+	"peridotcrank.dev/jobs/rows"
+	"peridotcrank.dev/jobs/worker"
+)
+
+// Results of measured calls.
+const (
+	resultOK       = "ok"
+	resultApplied  = "applied"
+	resultRejected = "rejected"
+	resultRefused  = "refused"
+	resultUnknown  = "unknown"
+	resultFailed   = "failed"
+)
+
+// measuredStore measures the calls to a store.
+type measuredStore struct {
+	rows.Store
+	metrics *metrics.Metrics
+}
+
+// Commit implements [rows.Store].
+func (s measuredStore) Commit(ctx context.Context, tx rows.Tx) (rows.Result, error) {
+	began := time.Now()
+	result, err := s.Store.Commit(ctx, tx)
+	outcome := resultRejected
+	switch {
+	case errors.Is(err, rows.ErrNotDone):
+		outcome = resultFailed
+	case err != nil:
+		outcome = resultUnknown
+	case result.Applied:
+		outcome = resultApplied
+	}
+	s.metrics.StoreCall("commit", outcome, time.Since(began))
+	return result, err
+}
+
+// Read implements [rows.Store].
+func (s measuredStore) Read(ctx context.Context, table, part, from string) (rows.Page, error) {
+	began := time.Now()
+	page, err := s.Store.Read(ctx, table, part, from)
+	outcome := resultOK
+	if err != nil {
+		outcome = resultFailed
+	}
+	s.metrics.StoreCall("read", outcome, time.Since(began))
+	return page, err
+}
+
+// measuredWorkers measures the orders to workers.
+type measuredWorkers struct {
+	worker.Client
+	metrics *metrics.Metrics
+}
+
+func (w measuredWorkers) record(order string, began time.Time, err error) {
+	outcome := resultOK
+	switch {
+	case worker.Refused(err):
+		outcome = resultRefused
+	case err != nil:
+		outcome = resultUnknown
+	}
+	w.metrics.WorkerOrder(order, outcome, time.Since(began))
+}
+
+// Start implements [worker.Client].
+func (w measuredWorkers) Start(ctx context.Context, to worker.Target, order worker.Start) (worker.Clock, error) {
+	began := time.Now()
+	clock, err := w.Client.Start(ctx, to, order)
+	w.record("start", began, err)
+	return clock, err
+}
+
+// Stop implements [worker.Client].
+func (w measuredWorkers) Stop(ctx context.Context, to worker.Target, task job.TaskRef, run int, fence uint64) (worker.Clock, error) {
+	began := time.Now()
+	clock, err := w.Client.Stop(ctx, to, task, run, fence)
+	w.record("stop", began, err)
+	return clock, err
+}
+
+// measuredCalls measures callers' calls.
+type measuredCalls struct {
+	forward *ingress.Forwarder
+	metrics *metrics.Metrics
+}
+
+// Call implements [platform.Calls].
+func (c measuredCalls) Call(ctx context.Context, request *jobpb.Request) *jobpb.Reply {
+	began := time.Now()
+	reply := c.forward.Call(ctx, request)
+	call := strings.ToLower(strings.TrimPrefix(request.Call.String(), "CALL_"))
+	result := strings.ToLower(strings.TrimPrefix(reply.Code.String(), "CODE_"))
+	c.metrics.JobCall(call, result, time.Since(began))
+	return reply
+}
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/eventlog/metrics"
 	"peridotcrank.dev/jobs/cluster"
 	"peridotcrank.dev/jobs/ingress"
 	"peridotcrank.dev/jobs/loop"
@@ -30,6 +31,7 @@
 	settings settings.Settings
 	clock    monotime.Clock
 	log      *eventlog.Log
+	metrics  *metrics.Metrics
 	loop     *loop.Loop
 	store    rows.Store
 	workers  worker.Client
@@ -65,9 +67,14 @@
 	if err != nil {
 		return nil, err
 	}
+	measured, err := metrics.New()
+	if err != nil {
+		return nil, err
+	}
 	p := &Process{
-		settings: s, clock: clock, log: log, loop: loop.New(),
-		store: platform.NewStore(s.Platform.Store.String()), workers: platform.NewWorkers(), client: relay.NewClient(),
+		settings: s, clock: clock, log: log, metrics: measured, loop: loop.New(),
+		store:   measuredStore{platform.NewStore(s.Platform.Store.String()), measured},
+		workers: measuredWorkers{platform.NewWorkers(), measured}, client: relay.NewClient(),
 		shards: map[string]*shard.Shard{}, queues: shard.Queues{}, renewing: true, histories: map[string][]string{},
 	}
 	p.registry = newRegistry(p)
@@ -108,7 +115,7 @@
 		Handler:           p.callersHandler(),
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
-	faults := make(chan error, 2)
+	faults := make(chan error, 3)
 	serve := func(s *http.Server, address string) error {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
@@ -124,6 +131,9 @@
 	if err := serve(readiness, p.settings.Listen.Ready.String()); err != nil {
 		return fmt.Errorf("listen for readiness: %w", err)
 	}
+	if err := serve(p.metrics.NewHTTPServer(), p.settings.Listen.Metrics.String()); err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	go p.loop.Run(work)
@@ -171,7 +181,7 @@
 // callersHandler answers callers; while the process stops, each answer asks
 // the caller to connect anew.
 func (p *Process) callersHandler() http.Handler {
-	handler := &platform.Callers{Calls: p.forward, Routing: p}
+	handler := &platform.Callers{Calls: measuredCalls{p.forward, p.metrics}, Routing: p}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if p.leaving.Load() {
 			w.Header().Set("Connection", "close")
--- a/testbed/main.go
+++ b/testbed/main.go
@@ -28,6 +28,7 @@
 	add("phase", "Wait until a plan's VM has reached a phase", &phaseCommand{})
 	add("fit", "Fit lines to the output of the scale benchmarks", &fitCommand{})
 	add("press", "Measure throughput and latency of one address", &pressCommand{})
+	add("soak", "Run processes under random faults against the stand-in of the platform", &soakCommand{})
 	add("proxy", "Run httputil.ReverseProxy as baseline", &proxyCommand{})
 	if _, err := parser.Parse(); err != nil {
 		var flagsError *flags.Error
--- /dev/null
+++ b/testbed/soak/soak_test.go
@@ -0,0 +1,30 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// build builds the program under test.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "peridotcrank")
+	out, err := exec.Command("go", "build", "-o", binary, "peridotcrank.dev/peridotcrank").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	return binary
+}
+
+const shortRun = 5 * time.Second
+
+// Guards against lost jobs, tasks that run twice and refused jobs that run, with
+// real processes under overlapping faults. Seeds that ever failed are kept here.
+func TestSeeds(t *testing.T) {
+	binary := build(t)
+	for _, seed := range []uint64{1} {
+		assert.NilError(t, Run(Options{Binary: binary, Dir: t.TempDir(), Seed: seed, Duration: shortRun}))
+	}
+}
--- /dev/null
+++ b/testbed/soak_command.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"peridotcrank.dev/testbed/soak"
+)
+
+type soakCommand struct {
+	Binary    string        `long:"binary" required:"yes" description:"program under test"`
+	Dir       string        `long:"dir" required:"yes" description:"directory for settings and logs"`
+	Seed      uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds     uint64        `long:"seeds" default:"1" description:"number of seeds"`
+	Processes int           `long:"processes" default:"4" description:"number of processes"`
+	Duration  time.Duration `long:"duration" default:"15s" description:"duration of the load with faults"`
+	Faults    []string      `long:"fault" description:"kinds of faults; all without"`
+}
+
+// Execute runs a soak for each seed and reports those that broke a guarantee.
+func (c *soakCommand) Execute([]string) error {
+	var failed []error
+	for seed := c.Seed; seed < c.Seed+c.Seeds; seed++ {
+		dir := filepath.Join(c.Dir, fmt.Sprint(seed))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return err
+		}
+		err := soak.Run(soak.Options{
+			Binary: c.Binary, Dir: dir, Seed: seed, Processes: c.Processes, Duration: c.Duration, Faults: c.Faults,
+		})
+		fmt.Printf("seed %d: %v\n", seed, err)
+		if err != nil {
+			failed = append(failed, err)
+		}
+	}
+	return errors.Join(failed...)
+}
