--- a/jobs/ingress/forwarder.go
+++ b/jobs/ingress/forwarder.go
@@ -20,6 +20,8 @@
 	Client *relay.Client
 	// Refresh asks for a new reading of the owners. Required.
 	Refresh func()
+	// IsPool reports whether a shard has jobs. Required.
+	IsPool func(shard string) bool
 	// Recorder records calls without an answer. Required.
 	Recorder eventlog.Recorder
 }
@@ -51,6 +53,73 @@
 // SetDirectory replaces the owners of shards.
 func (f *Forwarder) SetDirectory(d cluster.Directory) { f.directory.Store(&d) }
 
+// CallAny passes a call about a job to the owner of its queue's shard. A job
+// stays where it was accepted when its queue is sent to another pool, so a job
+// that is not known there is looked for in the other shards; former are those
+// that may have jobs of the queue.
+func (f *Forwarder) CallAny(ctx context.Context, request *jobpb.Request, former []string) *jobpb.Reply {
+	switch request.Call {
+	case jobpb.Call_CALL_SUBMIT:
+		if reply := f.find(ctx, request, former); reply != nil {
+			return reply
+		}
+		return f.Call(ctx, request)
+	case jobpb.Call_CALL_WAITING:
+		return f.sumWaiting(ctx, request, former)
+	}
+	reply := f.Call(ctx, request)
+	if reply.Code != jobpb.Code_CODE_NOT_FOUND {
+		return reply
+	}
+	for shard := range *f.directory.Load() {
+		if shard == request.Shard || !f.o.IsPool(shard) {
+			continue
+		}
+		if other := f.Call(ctx, withShard(request, shard)); other.Code != jobpb.Code_CODE_NOT_FOUND {
+			return other
+		}
+	}
+	return reply
+}
+
+func withShard(request *jobpb.Request, shard string) *jobpb.Request {
+	return &jobpb.Request{
+		Call: request.Call, Shard: shard, Queue: request.Queue, Id: request.Id, Job: request.Job, Workers: request.Workers,
+	}
+}
+
+// find answers a submission whose job a former pool of the queue knows, or may
+// know. It returns nil when none does.
+func (f *Forwarder) find(ctx context.Context, request *jobpb.Request, former []string) *jobpb.Reply {
+	for _, shard := range former {
+		look := withShard(request, shard)
+		look.Call, look.Job = jobpb.Call_CALL_STATE, nil
+		switch f.Call(ctx, look).Code {
+		case jobpb.Code_CODE_NOT_FOUND:
+		case jobpb.Code_CODE_OK:
+			return &jobpb.Reply{Code: jobpb.Code_CODE_OK}
+		default:
+			return &jobpb.Reply{Code: jobpb.Code_CODE_UNKNOWN}
+		}
+	}
+	return nil
+}
+
+func (f *Forwarder) sumWaiting(ctx context.Context, request *jobpb.Request, former []string) *jobpb.Reply {
+	sum := f.Call(ctx, request)
+	for _, shard := range former {
+		if sum.Code != jobpb.Code_CODE_OK {
+			break
+		}
+		other := f.Call(ctx, withShard(request, shard))
+		if other.Code != jobpb.Code_CODE_OK {
+			return other
+		}
+		sum.Waiting += other.Waiting
+	}
+	return sum
+}
+
 // Call passes a call on until it is answered, or ctx ends. All calls are
 // idempotent, so that one without an answer is made again. A submission that
 // may have been stored is never reported as refused.
--- a/jobs/ingress/ingress_test.go
+++ b/jobs/ingress/ingress_test.go
@@ -39,7 +39,7 @@
 				}
 				return answer
 			},
-			Client: relay.NewClient(), Refresh: func() {}, Recorder: eventlog.Discard,
+			Client: relay.NewClient(), Refresh: func() {}, Recorder: eventlog.Discard, IsPool: func(string) bool { return true },
 		})
 		f.SetDirectory(cluster.Directory{"s": {Self: true}})
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -78,3 +78,38 @@
 	reply, _ := callOwner(t, jobpb.Call_CALL_STATE, notOwner, refused, nil, ok)
 	assert.Equal(t, reply.Code, jobpb.Code_CODE_OK)
 }
+
+// Guards against a job that is not found, or stored a second time, after its
+// queue was sent to another pool.
+func TestJobsOfFormerPools(t *testing.T) {
+	var asked []string
+	f := NewForwarder(Options{
+		Local: func(_ context.Context, r *jobpb.Request) *jobpb.Reply {
+			asked = append(asked, r.Call.String()+" "+r.Shard)
+			if r.Call == jobpb.Call_CALL_WAITING {
+				return &jobpb.Reply{Code: jobpb.Code_CODE_OK, Waiting: 3}
+			}
+			if r.Shard == "old" && r.Id == "known" {
+				return &jobpb.Reply{Code: jobpb.Code_CODE_OK, State: jobpb.State_STATE_RUNNING}
+			}
+			if r.Call == jobpb.Call_CALL_SUBMIT {
+				return ok
+			}
+			return &jobpb.Reply{Code: jobpb.Code_CODE_NOT_FOUND}
+		},
+		Client: relay.NewClient(), Refresh: func() {}, Recorder: eventlog.Discard,
+		IsPool: func(shard string) bool { return shard != "fleet" },
+	})
+	f.SetDirectory(cluster.Directory{"new": {Self: true}, "old": {Self: true}, "fleet": {Self: true}})
+	call := func(kind jobpb.Call, id string, former ...string) *jobpb.Reply {
+		asked = nil
+		return f.CallAny(context.Background(), &jobpb.Request{Call: kind, Shard: "new", Id: id}, former)
+	}
+	assert.Equal(t, call(jobpb.Call_CALL_STATE, "known").State, jobpb.State_STATE_RUNNING)
+	assert.Equal(t, call(jobpb.Call_CALL_CANCEL, "unknown").Code, jobpb.Code_CODE_NOT_FOUND)
+	assert.Equal(t, call(jobpb.Call_CALL_SUBMIT, "known", "old").Code, jobpb.Code_CODE_OK)
+	assert.DeepEqual(t, asked, []string{"CALL_STATE old"})
+	call(jobpb.Call_CALL_SUBMIT, "unknown", "old")
+	assert.DeepEqual(t, asked, []string{"CALL_STATE old", "CALL_SUBMIT new"})
+	assert.Equal(t, call(jobpb.Call_CALL_WAITING, "", "old").Waiting, int64(6))
+}
--- a/peridotcrank/jobproc/observe.go
+++ b/peridotcrank/jobproc/observe.go
@@ -98,10 +98,10 @@
 	metrics *metrics.Metrics
 }
 
-// Call implements [platform.Calls].
-func (c measuredCalls) Call(ctx context.Context, request *jobpb.Request) *jobpb.Reply {
+// CallAny implements [platform.Calls].
+func (c measuredCalls) CallAny(ctx context.Context, request *jobpb.Request, former []string) *jobpb.Reply {
 	began := time.Now()
-	reply := c.forward.Call(ctx, request)
+	reply := c.forward.CallAny(ctx, request, former)
 	call := strings.ToLower(strings.TrimPrefix(request.Call.String(), "CALL_"))
 	result := strings.ToLower(strings.TrimPrefix(reply.Code.String(), "CODE_"))
 	c.metrics.JobCall(call, result, time.Since(began))
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -87,6 +87,7 @@
 	}
 	p.forward = ingress.NewForwarder(ingress.Options{
 		Local: p.answerLocal, Client: p.client, Recorder: log,
+		IsPool:  func(shard string) bool { return shard != fleetShard },
 		Refresh: func() { p.loop.Post(p.cluster.Refresh) },
 	})
 	return p, nil
