Do not wait for vacated workers at a takeover, and wait as long as leases last

A vacated worker's row is dropped before its VM is ordered away; the wait is the lease that former owners gave, kept in the head row, not the longest that workers accept. TestTakeoverDoesNotWaitForVacatedWorkers failed before.

--- a/jobs/maintenance/planner.go
+++ b/jobs/maintenance/planner.go
@@ -277,9 +277,12 @@
 	}
 }
 
-// levelGap is how many more VMs without need a pool must have than another
-// before one of them moves there.
-const levelGap = 4
+// A pool gives an idle VM to another that has fewer of them by levelShare of its
+// size, and by leastLevelGap at least.
+const (
+	levelShare    = 0.3
+	leastLevelGap = 4
+)
 
 // level spreads idle VMs over the pools while none lacks room, since the next
 // surge may come to any of them and a move takes longer than a job may wait.
@@ -298,7 +301,7 @@
 				most = pl
 			}
 		}
-		if most == nil || most.idleRoom()-least.idleRoom() < levelGap {
+		if most == nil || most.idleRoom()-least.idleRoom() < max(leastLevelGap, levelShare*most.have) {
 			return
 		}
 		m := p.nextFree(most)
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -21,8 +21,6 @@
 	Fence uint64
 	// HoldFor is the lease that workers get. Required.
 	HoldFor time.Duration
-	// MaxHold is the longest lease that a former owner may have given. Required.
-	MaxHold time.Duration
 	// KeepEnded is how long ended jobs are shown. Required.
 	KeepEnded time.Duration
 
@@ -45,8 +43,8 @@
 	switch {
 	case o.Pool == "" || o.Owner == "" || o.Fence == 0:
 		return errors.New("shard: pool, owner and fence are required")
-	case o.HoldFor <= 0 || o.MaxHold < o.HoldFor || o.KeepEnded <= 0:
-		return errors.New("shard: leases and the time to keep ended jobs must be positive, and no lease longer than the longest")
+	case o.HoldFor <= 0 || o.KeepEnded <= 0:
+		return errors.New("shard: leases and the time to keep ended jobs must be positive")
 	case o.Store == nil || o.Workers == nil || o.Loop == nil || o.Recorder == nil || o.HasRight == nil || o.Lost == nil || o.Clock == nil:
 		return errors.New("shard: a dependency is missing")
 	}
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -20,6 +20,8 @@
 	closed  bool // Being handed over: nothing new begins.
 	// takenAt is when this process became the owner.
 	takenAt time.Duration
+	// inheritedHold is the longest lease that former owners gave.
+	inheritedHold time.Duration
 
 	arrivals uint64
 	jobs     map[job.ID]*jobState
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -324,6 +324,23 @@
 	})
 }
 
+// Guards against a takeover that waits for workers whose VMs were moved away.
+func TestTakeoverDoesNotWaitForVacatedWorkers(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(2)
+		first := r.own()
+		time.Sleep(time.Second)
+		r.do(func() { first.Report([]worker.ID{"w0"}) })
+		assert.Equal(t, r.submit(first, simpleJob(1, 4)).Code, OK)
+		time.Sleep(500 * time.Millisecond)
+		r.fleet.SetDark("w0", true) // Its VM is moved.
+		r.infos = r.infos[1:]
+		r.do(first.Stop)
+		second := r.own()
+		r.await(second, 1, job.Completed, 3*time.Second)
+	})
+}
+
 // Guards against options without which a shard would act wrongly.
 func TestOptionsAreChecked(t *testing.T) {
 	_, err := New(Options{})
--- a/jobs/shard/vacate.go
+++ b/jobs/shard/vacate.go
@@ -44,6 +44,7 @@
 		if w := s.workers[id]; w != nil {
 			w.vacating = now + vacateFor
 			s.evacuate(w)
+			s.forgetVacated(w)
 		}
 	}
 	var r Report
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -41,13 +41,31 @@
 		w = s.reborn(w, info.Born)
 	}
 	w.info, w.registered = info, true
-	if !w.recorded && !w.recording {
-		w.recording = true
-		s.journal.records = append(s.journal.records, w)
-	}
+	s.recordWorker(w)
 	s.hold(w)
 }
 
+// recordWorker has a worker recorded, so that a later owner asks it.
+func (s *Shard) recordWorker(w *workerState) {
+	if w.recorded || w.recording || s.o.Clock() < w.vacating {
+		return
+	}
+	w.recording = true
+	s.journal.records = append(s.journal.records, w)
+}
+
+// forgetVacated drops the row of a worker on which nothing runs and nothing is
+// started, since its VM may be given another task at any moment. A later owner
+// need not wait for it.
+func (s *Shard) forgetVacated(w *workerState) {
+	if !w.recorded || len(w.attempts) > 0 || !w.accounted || len(w.unanswered) > 0 {
+		return
+	}
+	w.recorded = false
+	s.dropWorkerRow(w.info.ID)
+	s.flush()
+}
+
 func (s *Shard) addWorker(info worker.Info) *workerState {
 	w := &workerState{info: info, attempts: map[runKey]*attempt{}, unanswered: map[runKey]time.Duration{}}
 	s.workers[info.ID] = w
@@ -185,11 +203,14 @@
 // checkWorker repeats stops without an answer and notices leases that passed.
 func (s *Shard) checkWorker(w *workerState, now time.Duration) {
 	s.hold(w)
+	if w.registered {
+		s.recordWorker(w)
+	}
 	if w.failures > 0 && len(w.attempts) > 0 && w.clock > 0 && now > w.leaseEnd() {
 		s.record(eventlog.WorkerLeasePassed, eventlog.Fields{"worker": w.info.ID, "runs": len(w.attempts)})
 		s.dropAttempts(w)
 	}
-	if !w.accounted && now > s.takenAt+time.Duration(float64(s.o.MaxHold)/clockRate)+leaseMargin {
+	if !w.accounted && now > s.takenAt+time.Duration(float64(s.inheritedHold)/clockRate)+leaseMargin {
 		s.account(w)
 	}
 	if !w.registered && w.failures > 0 && w.accounted && len(w.attempts) == 0 {
--- a/peridotcrank/jobproc/ownership.go
+++ b/peridotcrank/jobproc/ownership.go
@@ -30,7 +30,7 @@
 	}
 	s, err := shard.New(shard.Options{
 		Pool: name, Owner: fmt.Sprintf("%s/%d", p.settings.Member, fence), Fence: fence,
-		HoldFor: min(holdFor, p.settings.Leases.MaxHold), MaxHold: p.settings.Leases.MaxHold,
+		HoldFor:   min(holdFor, p.settings.Leases.MaxHold),
 		KeepEnded: p.settings.Timing.KeepEnded + keepSlack,
 		Store:     p.store, Workers: p.workers, Loop: p.loop, Recorder: p.log,
 		HasRight: func() bool {
