--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -11,7 +11,7 @@
 // start orders a worker to run a task.
 func (s *Shard) start(t *task, w *workerState, run int) {
 	now := s.o.Clock()
-	a := &attempt{task: t, ref: t.ref(), run: run, worker: w, charge: t.step.spec.Charge(), sent: now}
+	a := &attempt{task: t, ref: t.ref(), run: run, worker: w, charge: t.step.spec.Charge(), sent: now, pace: fullPace}
 	t.add(a)
 	w.attempts[a.key()] = a
 	w.used = w.used.Plus(a.charge)
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -163,6 +163,8 @@
 	ordering bool
 	percent  int
 	measure  float64
+	pace     int // Share at which the run was last told to work.
+	pacing   bool
 }
 
 func (a *attempt) key() runKey { return runKey{a.ref, a.run} }
@@ -192,6 +194,9 @@
 	holdSent  time.Duration
 	failures  int // Holds in a row without an answer.
 	restUntil time.Duration
+
+	pace    int // Share at which filling tasks work.
+	pacedAt time.Duration
 }
 
 func (w *workerState) target() worker.Target {
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -67,7 +67,7 @@
 }
 
 func (s *Shard) addWorker(info worker.Info) *workerState {
-	w := &workerState{info: info, attempts: map[runKey]*attempt{}, unanswered: map[runKey]time.Duration{}}
+	w := &workerState{info: info, attempts: map[runKey]*attempt{}, unanswered: map[runKey]time.Duration{}, pace: fullPace}
 	s.workers[info.ID] = w
 	return w
 }
@@ -149,6 +149,8 @@
 		order.Wait = holdWait
 		if len(w.attempts) == 0 {
 			order.Wait = holdWaitIdle
+		} else if sh := w.sharing(); sh.serves && len(sh.fills) > 0 {
+			order.Wait = sharingWait
 		}
 	}
 	w.holding, w.holdSent = true, now
@@ -203,6 +205,7 @@
 // checkWorker repeats stops without an answer and notices leases that passed.
 func (s *Shard) checkWorker(w *workerState, now time.Duration) {
 	s.hold(w)
+	s.paceWorker(w, now)
 	if w.registered {
 		s.recordWorker(w)
 	}
