Settle starts without answer at once, and do not rest sound workers for them

A worker rests after three in a row; its lists are asked for when the stop is answered. Lists that overtake each other are told apart by the worker's clock.

--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -10,7 +10,16 @@
 
 // applyStatus compares what a worker lists with what this shard knows. sent is
 // when the hold that the worker answers was sent.
+//
+// Answers may overtake each other. Lists that are older than those applied last
+// are left out; ends that only they show are listed again. Lists of the same
+// moment show no new run, but may still show one that has just ended.
 func (s *Shard) applyStatus(w *workerState, sent time.Duration, status worker.Status) {
+	if status.Clock < w.listed {
+		return
+	}
+	same := status.Clock == w.listed
+	w.listed = status.Clock
 	for _, end := range status.Ended {
 		if end.Number <= w.processed {
 			continue
@@ -22,7 +31,9 @@
 	for _, r := range status.Running {
 		key := runKey{r.Task, r.Run}
 		listed[key] = true
-		s.applyRunning(w, key, r)
+		if !same || w.attempts[key] != nil {
+			s.applyRunning(w, key, r)
+		}
 	}
 	for key, a := range w.attempts {
 		// An order that was answered before this hold was sent is visible in the lists.
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -83,14 +83,15 @@
 	// storeSlow is the age of an unanswered transaction from which new jobs are refused.
 	storeSlow = 700 * time.Millisecond
 
-	orderTimeout = 700 * time.Millisecond
+	// orderTimeout is many times what a worker takes to answer an order.
+	orderTimeout = 400 * time.Millisecond
 	orderRetry   = 250 * time.Millisecond
 	// lateOrderLimit is how late an order without an answer may be carried out.
 	lateOrderLimit = 15 * time.Second
 	// holdWait is how long a worker may wait for an end before it answers a hold.
-	holdWait     = time.Second
+	holdWait     = 800 * time.Millisecond
 	holdWaitIdle = 2 * time.Second
-	holdTimeout  = 900 * time.Millisecond // Beyond the wait.
+	holdTimeout  = 600 * time.Millisecond // Beyond the wait.
 	holdRetry    = 200 * time.Millisecond
 	// holdRenew is the age of a lease from which it is renewed although ends
 	// are not committed yet.
@@ -99,7 +100,10 @@
 	clockRate = 0.98
 	// leaseMargin is added to a lease before it is taken as passed.
 	leaseMargin = 100 * time.Millisecond
-	// restPeriod is how long a worker that refused or did not answer an order gets no further ones.
+	// maxUnanswered is how many starts in a row a worker may leave without an
+	// answer before it rests. Single answers get lost while a worker is sound.
+	maxUnanswered = 3
+	// restPeriod is how long a worker that refused orders or did not answer them gets no further ones.
 	restPeriod = time.Second
 	// runsPerOwner separates the run numbers of consecutive owners.
 	runsPerOwner = 1000
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -39,6 +39,7 @@
 	now := s.o.Clock()
 	if err == nil {
 		a.worker.observe(clock, now)
+		a.worker.silent = 0
 		a.answered = now
 		if a.phase == starting {
 			a.phase, a.began = running, now
@@ -53,7 +54,9 @@
 		return
 	}
 	s.record(eventlog.StartUnanswered, eventlog.Fields{"task": a.ref.String(), "run": a.run, "worker": a.worker.info.ID, "error": err})
-	a.worker.restUntil = now + restPeriod
+	if a.worker.silent++; a.worker.silent >= maxUnanswered {
+		a.worker.restUntil = now + restPeriod
+	}
 	s.stop(a)
 }
 
@@ -122,6 +125,7 @@
 	case err == nil:
 		a.answered = s.o.Clock()
 		a.worker.observe(clock, a.answered)
+		s.look(a.worker)
 	case errors.Is(err, worker.ErrFenced):
 		s.lost("a worker has seen a higher fence")
 	case errors.Is(err, worker.ErrReplaced):
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -137,6 +137,26 @@
 	}
 }
 
+// Guards against a sound worker that gets no tasks for a while because single
+// answers were lost, and against a lost start that is settled late.
+func TestLostAnswerIsSettledSoon(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(1)
+		o := r.own()
+		time.Sleep(time.Second)
+		first := true
+		r.fleet.SetFault(func(_ worker.ID, order string) workertest.Fault {
+			if order == "start" && first {
+				first = false
+				return workertest.Silent
+			}
+			return workertest.None
+		})
+		assert.Equal(t, r.submit(o, simpleJob(1, 2)).Code, OK)
+		r.await(o, 1, job.Completed, time.Second+orderTimeout+200*time.Millisecond)
+	})
+}
+
 // Guards against a task that starts elsewhere while a worker that does not
 // answer may still run it, and against one that never starts again.
 func TestDarkWorker(t *testing.T) {
@@ -190,7 +210,7 @@
 			return workertest.None
 		})
 		assert.Equal(t, r.submit(o, simpleJob(1, 1)).Code, OK)
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(orderTimeout / 2) // Before the start is given up.
 		r.infos = slices.Clone(r.infos)
 		r.infos[0].Born = 2
 		r.fleet.Add(r.infos[0])
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -194,6 +194,9 @@
 	holdSent  time.Duration
 	failures  int // Holds in a row without an answer.
 	restUntil time.Duration
+	silent    int // Starts in a row without an answer.
+	// listed is the worker's clock in the last lists that were applied.
+	listed worker.Clock
 
 	pace    int // Share at which filling tasks work.
 	pacedAt time.Duration
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -163,6 +163,25 @@
 	}()
 }
 
+// look asks for a worker's lists at once, beside a hold that waits for an end.
+func (s *Shard) look(w *workerState) {
+	if !s.canAct() || s.workers[w.info.ID] != w {
+		return
+	}
+	sent, to, order := s.o.Clock(), w.target(), worker.Hold{Fence: s.o.Fence, AckedUpTo: w.committed}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		defer cancel()
+		status, err := s.o.Workers.Hold(ctx, to, order)
+		s.o.Loop.Post(func() {
+			if err == nil && !s.stopped && s.workers[w.info.ID] == w && (status.Born == 0 || status.Born == w.info.Born) {
+				w.observe(status.Clock, s.o.Clock())
+				s.applyStatus(w, sent, status)
+			}
+		})
+	}()
+}
+
 func (s *Shard) held(w *workerState, sent time.Duration, status worker.Status, err error) {
 	w.holding = false
 	if s.stopped || s.workers[w.info.ID] != w {
