--- /dev/null
+++ b/eventlog/async_test.go
@@ -0,0 +1,41 @@
+package eventlog
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stuck is a writer that does not return until it is released.
+type stuck chan struct{}
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s
+	return len(p), nil
+}
+
+// Guards against a process that waits for the reader of its log.
+func TestAsyncWriterNeverBlocks(t *testing.T) {
+	release := make(stuck)
+	w := NewAsyncWriter(release, 2)
+	for range 10 {
+		w.Write([]byte("line\n"))
+	}
+	assert.Assert(t, w.Dropped() >= 7) // One is being written, two wait.
+	close(release)
+	w.Flush(5 * time.Second)
+}
+
+// Guards against lines that are lost at the end of the process or out of order.
+func TestAsyncWriterWritesAllInOrder(t *testing.T) {
+	var buffer bytes.Buffer
+	w := NewAsyncWriter(&buffer, 100)
+	for _, line := range []string{"a", "b", "c"} {
+		w.Write([]byte(line))
+	}
+	w.Flush(5 * time.Second)
+	assert.Equal(t, buffer.String(), "abc")
+	assert.Equal(t, w.Dropped(), uint64(0))
+}
--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -60,6 +60,7 @@
 	JobRefused         Code = 4502
 	JobEnded           Code = 4503
 	CallUnanswered     Code = 4504
+	CallNotServed      Code = 4505
 	ShardAcquired      Code = 4510
 	ShardLoaded        Code = 4511
 	ShardLoadFailed    Code = 4512
@@ -162,6 +163,7 @@
 	ProcessPaused      Code = 9006
 	ProcessFailed      Code = 9007
 	MetricsListenFault Code = 9008
+	LogLinesDropped    Code = 9009
 )
 
 // catalogue holds each code once, in ascending order. docs/EVENTS.md lists the same rows.
@@ -212,6 +214,7 @@
 	{JobRefused, "job-refused", LevelInfo, "A job was refused before it was committed; it never runs."},
 	{JobEnded, "job-ended", LevelInfo, "The end of a job was committed."},
 	{CallUnanswered, "call-unanswered", LevelWarning, "A call to the owner of a shard got no answer; the outcome is unknown."},
+	{CallNotServed, "call-not-served", LevelInfo, "A caller was told that its call was refused, or that its outcome is unknown."},
 	{ShardAcquired, "shard-acquired", LevelInfo, "This process became the owner of a shard."},
 	{ShardLoaded, "shard-loaded", LevelInfo, "The rows of a shard were read; its jobs go on."},
 	{ShardLoadFailed, "shard-load-failed", LevelWarning, "The rows of a shard could not be read; it is tried again."},
@@ -298,4 +301,5 @@
 	{ProcessPaused, "process-paused", LevelWarning, "The process was suspended for longer than the validity of its view."},
 	{ProcessFailed, "process-failed", LevelAlarm, "The entry process ends because of an internal fault."},
 	{MetricsListenFault, "metrics-listen-fault", LevelAlarm, "The listener for metrics failed."},
+	{LogLinesDropped, "log-lines-dropped", LevelWarning, "Log lines were dropped because their reader was too slow."},
 }
--- a/peridotcrank/jobproc/observe.go
+++ b/peridotcrank/jobproc/observe.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/eventlog/metrics"
 	"peridotcrank.dev/jobs/ingress"
 	"peridotcrank.dev/jobs/job"
@@ -94,8 +95,9 @@
 
 // measuredCalls measures callers' calls.
 type measuredCalls struct {
-	forward *ingress.Forwarder
-	metrics *metrics.Metrics
+	forward  *ingress.Forwarder
+	metrics  *metrics.Metrics
+	recorder eventlog.Recorder
 }
 
 // CallAny implements [platform.Calls].
@@ -104,6 +106,12 @@
 	reply := c.forward.CallAny(ctx, request, former)
 	call := strings.ToLower(strings.TrimPrefix(request.Call.String(), "CALL_"))
 	result := strings.ToLower(strings.TrimPrefix(reply.Code.String(), "CODE_"))
-	c.metrics.JobCall(call, result, time.Since(began))
+	took := time.Since(began)
+	c.metrics.JobCall(call, result, took)
+	if reply.Code == jobpb.Code_CODE_REFUSED || reply.Code == jobpb.Code_CODE_UNKNOWN {
+		c.recorder.Record(eventlog.CallNotServed, eventlog.Fields{
+			"job": request.Id, "queue": request.Queue, "shard": request.Shard, "call": call, "result": result, "took": took.String(),
+		})
+	}
 	return reply
 }
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -31,6 +31,7 @@
 	settings settings.Settings
 	clock    monotime.Clock
 	log      *eventlog.Log
+	output   *eventlog.AsyncWriter
 	metrics  *metrics.Metrics
 	loop     *loop.Loop
 	store    rows.Store
@@ -63,7 +64,8 @@
 	if err != nil {
 		return nil, err
 	}
-	log, err := eventlog.New(eventlog.Options{Process: string(s.Member), Writer: os.Stdout})
+	output := eventlog.NewAsyncWriter(os.Stdout, logQueue)
+	log, err := eventlog.New(eventlog.Options{Process: string(s.Member), Writer: output})
 	if err != nil {
 		return nil, err
 	}
@@ -72,7 +74,7 @@
 		return nil, err
 	}
 	p := &Process{
-		settings: s, clock: clock, log: log, metrics: measured, loop: loop.New(),
+		settings: s, clock: clock, log: log, output: output, metrics: measured, loop: loop.New(),
 		store:   measuredStore{platform.NewStore(s.Platform.Store.String()), measured},
 		workers: measuredWorkers{platform.NewWorkers(), measured}, client: relay.NewClient(),
 		shards: map[string]*shard.Shard{}, queues: shard.Queues{}, renewing: true, histories: map[string][]string{},
@@ -94,7 +96,11 @@
 }
 
 const (
-	coreMilli     = 1000
+	coreMilli = 1000
+	// logQueue is the number of log lines that wait for a slow reader.
+	logQueue = 4096
+	// logFlush bounds the wait for the reader at the end of the process.
+	logFlush      = 200 * time.Millisecond
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
 	// rotationTime is how long the platform takes to notice that a process is not ready.
@@ -105,6 +111,7 @@
 
 // Run runs the process until ctx ends, then stops it gracefully.
 func (p *Process) Run(ctx context.Context) error {
+	defer p.closeLog()
 	p.log.Record(eventlog.ProcessStarted, eventlog.Fields{"zone": p.settings.Zone})
 	peers, err := net.Listen("tcp", p.settings.Listen.Peers.String())
 	if err != nil {
@@ -149,6 +156,14 @@
 	return nil
 }
 
+// closeLog waits until the log is written.
+func (p *Process) closeLog() {
+	if n := p.output.Dropped(); n > 0 {
+		p.log.Record(eventlog.LogLinesDropped, eventlog.Fields{"lines": n})
+	}
+	p.output.Flush(logFlush)
+}
+
 func (p *Process) watch(ctx context.Context) {
 	config := rows.Watcher{Store: p.store, Table: platform.OperatorTable, Changed: p.operatorChanged, State: p.feedState(platform.OperatorTable)}
 	go config.Run(ctx)
@@ -182,7 +197,7 @@
 // callersHandler answers callers; while the process stops, each answer asks
 // the caller to connect anew.
 func (p *Process) callersHandler() http.Handler {
-	handler := &platform.Callers{Calls: measuredCalls{p.forward, p.metrics}, Routing: p}
+	handler := &platform.Callers{Calls: measuredCalls{p.forward, p.metrics, p.log}, Routing: p}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if p.leaving.Load() {
 			w.Header().Set("Connection", "close")
