--- a/jobs/loop/loop.go
+++ b/jobs/loop/loop.go
@@ -37,7 +37,7 @@
 }
 
 // Post runs f on the loop. It is dropped once the loop has ended. Functions on
-// the loop must not call Post, but use Go or After.
+// the loop use After instead, since Post waits while the queue is full.
 func (l *Loop) Post(f func()) {
 	select {
 	case l.queue <- f:
--- /dev/null
+++ b/jobs/loop/loop_test.go
@@ -0,0 +1,30 @@
+package loop
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against functions that run at the same time or out of order, and
+// against callers that wait for a loop that has ended.
+func TestLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		l := New()
+		go l.Run(ctx)
+		var order []int
+		l.After(time.Second, func() { order = append(order, 2) })
+		l.Post(func() { order = append(order, 1) })
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, l.Call(context.Background(), func() { order = append(order, 3) }))
+		assert.DeepEqual(t, order, []int{1, 2, 3})
+		cancel()
+		synctest.Wait()
+		assert.Assert(t, !l.Call(context.Background(), func() { t.Error("the loop has ended") }))
+		l.Post(func() { t.Error("the loop has ended") })
+	})
+}
