Do not copy a node's incarnation without its lock when a session opens

Cause: TestProcessesTogether failed once under the race detector, beside six busy processes: yamuxConfig took the whole configuration by value in link.session while adoptSelf wrote Self.Incarnation, which is guarded by the node's lock.

--- a/peer/link.go
+++ b/peer/link.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return false, err
 	}
-	multiplexed, err := yamux.Client(conn, yamuxConfig(l.node.config))
+	multiplexed, err := yamux.Client(conn, yamuxConfig(&l.node.config))
 	if err != nil {
 		_ = conn.Close()
 		return false, l.fail(StepHello, err)
--- a/peer/session.go
+++ b/peer/session.go
@@ -51,7 +51,7 @@
 // run serves the session until it ends.
 func (s *session) run() {
 	defer s.cancel()
-	multiplexed, err := yamux.Server(s.conn, yamuxConfig(s.node.config))
+	multiplexed, err := yamux.Server(s.conn, yamuxConfig(&s.node.config))
 	if err != nil {
 		_ = s.conn.Close()
 		return
--- a/peer/yamux.go
+++ b/peer/yamux.go
@@ -15,7 +15,9 @@
 	streamBacklog = 8
 )
 
-func yamuxConfig(c Config) *yamux.Config {
+// yamuxConfig reads only settings that never change. It takes a pointer, since a
+// copy of the whole configuration would read the incarnation without its lock.
+func yamuxConfig(c *Config) *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.AcceptBacklog = streamBacklog
 	config.KeepAliveInterval = keepAliveInterval
