--- a/jobs/maintenance/manager.go
+++ b/jobs/maintenance/manager.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"peridotcrank.dev/eventlog"
-	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/loop"
 	"peridotcrank.dev/jobs/rows"
 	"peridotcrank.dev/jobs/worker"
@@ -45,8 +44,6 @@
 	returnSlack = 1500 * time.Millisecond
 	// moveVacateLimit is how long a move waits for its VM to be vacated.
 	moveVacateLimit = 2500 * time.Millisecond
-	// peakWindow is how long a pool keeps the room that it needed last.
-	peakWindow = 6 * time.Second
 	// fenceShift leaves room for the numbers of orders below the version of the ownership.
 	fenceShift = 20
 	// backoff is how long a VM is left alone after an order was refused.
@@ -72,11 +69,6 @@
 	calling bool
 }
 
-type peak struct {
-	need float64
-	at   time.Duration
-}
-
 // Manager carries out moves and waves. All its methods run on the loop.
 type Manager struct {
 	o       Options
@@ -90,7 +82,6 @@
 	listing    bool
 	demands    map[string]Demand
 	asking     map[string]bool
-	peaks      map[string][]peak
 	operations map[string]*operation
 	rest       map[string]time.Duration // VMs left alone until a time.
 	orders     uint64
@@ -104,7 +95,7 @@
 	}
 	return &Manager{
 		o: o, waves: map[int64]*waveRecord{}, demands: map[string]Demand{}, asking: map[string]bool{},
-		peaks: map[string][]peak{}, operations: map[string]*operation{}, rest: map[string]time.Duration{},
+		operations: map[string]*operation{}, rest: map[string]time.Duration{},
 	}, nil
 }
 
@@ -193,30 +184,10 @@
 				return
 			}
 			m.demands[pool] = demand
-			m.notePeak(pool)
 		})
 	}()
 }
 
-func (m *Manager) notePeak(pool string) {
-	now := m.o.Clock()
-	need := Need(m.demands[pool], m.capacity())
-	kept := m.peaks[pool][:0]
-	for _, p := range m.peaks[pool] {
-		if now-p.at < peakWindow {
-			kept = append(kept, p)
-		}
-	}
-	m.peaks[pool] = append(kept, peak{need, now})
-}
-
-func (m *Manager) capacity() job.Resources {
-	if len(m.machines) == 0 {
-		return job.Resources{}
-	}
-	return m.machines[0].Capacity
-}
-
 func (m *Manager) machine(name string) (Machine, bool) {
 	for _, machine := range m.machines {
 		if machine.Name == name {
@@ -344,13 +315,7 @@
 		return
 	}
 	s := Snapshot{
-		Now: now, Machines: m.machines, Spare: m.spare, Demands: m.demands,
-		Peaks: map[string]float64{}, Pending: map[string]Decision{},
-	}
-	for pool, peaks := range m.peaks {
-		for _, p := range peaks {
-			s.Peaks[pool] = max(s.Peaks[pool], p.need)
-		}
+		Now: now, Machines: m.machines, Spare: m.spare, Demands: m.demands, Pending: map[string]Decision{},
 	}
 	for name, op := range m.operations {
 		s.Pending[name] = op.Decision
--- a/jobs/maintenance/planner.go
+++ b/jobs/maintenance/planner.go
@@ -35,8 +35,6 @@
 	// Spare is the pool of VMs that are switched off; empty for none.
 	Spare   string
 	Demands map[string]Demand
-	// Peaks are the highest needs of the pools of the last seconds, in VMs.
-	Peaks map[string]float64
 	// Pending are decisions that are being carried out, by VM.
 	Pending map[string]Decision
 	Waves   []WaveState
@@ -97,7 +95,6 @@
 	name string
 	have float64 // VMs that serve it, or will after their move.
 	need float64
-	peak float64
 	// free are VMs that can be given away, idle ones first.
 	free []*Machine
 }
@@ -107,8 +104,7 @@
 // idleRoom is the number of VMs that the pool does not need now.
 func (p *pool) idleRoom() float64 { return p.have - p.need }
 
-// surplus is the number of VMs that the pool can give away. What it needed a
-// moment ago does not count while another pool lacks room.
+// surplus is the number of VMs that the pool can give away.
 func (p *pool) surplus() float64 { return p.have - max(p.need, minPoolVMs) }
 
 type plan struct {
@@ -134,7 +130,6 @@
 	for name, d := range s.Demands {
 		pl := p.pool(name)
 		pl.need = Need(d, capacity)
-		pl.peak = s.Peaks[name]
 	}
 	for _, pl := range p.pools {
 		slices.SortStableFunc(pl.free, func(a, b *Machine) int { return cmp.Compare(p.tasks(a), p.tasks(b)) })
--- a/jobs/maintenance/planner_test.go
+++ b/jobs/maintenance/planner_test.go
@@ -15,7 +15,7 @@
 
 // fleetOf returns VMs of pools, all up and idle.
 func fleetOf(sizes map[string]int) Snapshot {
-	s := Snapshot{Demands: map[string]Demand{}, Peaks: map[string]float64{}, Pending: map[string]Decision{}, Spare: "spare"}
+	s := Snapshot{Demands: map[string]Demand{}, Pending: map[string]Decision{}, Spare: "spare"}
 	for _, pool := range []string{"a", "b", "c", "spare"} {
 		d := Demand{Workers: map[worker.ID]Use{}}
 		for i := range sizes[pool] {
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -14,7 +14,7 @@
 	sequence uint64 // Order of arrival at this owner.
 	// stored is set once the job's row is committed.
 	stored bool
-	// known is set for jobs of a former owner, whose tasks may be running.
+	// inherited is set for jobs of a former owner, whose tasks may be running.
 	inherited bool
 	started   bool
 	lasting   bool // A step runs until the job is cancelled.
--- a/settings/jobs/settings.go
+++ b/settings/jobs/settings.go
@@ -37,7 +37,6 @@
 	Store    netip.AddrPort // Table service. Required.
 	Machines string         // List and orders of machines, HOST:PORT; empty for none.
 	Advice   string         // Advice on workers, HOST:PORT; empty for none.
-	Fenced   bool           // Orders for machines are fenced.
 }
 
 // Leases bound the leases of workers.
--- /dev/null
+++ b/settings/jobs/settings_test.go
@@ -0,0 +1,55 @@
+package jobs
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const valid = `member: front-a-1
+zone: wa-south-a
+cpu: 0.4
+listen:
+  callers: 10.1.0.9:8624
+  ready: 10.1.0.9:8622
+  peers: "10.1.0.9:7060"
+  metrics: "10.1.0.9:7061"
+platform:
+  store: 10.200.1.7:8621
+  machines: "10.200.0.107:8621"
+leases:
+  max_hold: 6000ms
+timing:
+  grace: 6s
+  keep_ended: 120s
+  upkeep: 2s
+  move: 1.5s
+  notice: 4500ms
+  harm: 4000ms
+  pace: 100ms
+`
+
+// Guards against settings that are read as other values.
+func TestSettings(t *testing.T) {
+	s, err := Parse("jobs.yaml", []byte(valid))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Timing.Move, 1500*time.Millisecond)
+	assert.Equal(t, s.Listen.Peers.String(), "10.1.0.9:7060")
+	assert.Equal(t, s.CPU, 0.4)
+}
+
+// Guards against a fault in the settings that is found only while the process runs.
+func TestFaultsNameTheLine(t *testing.T) {
+	for replace, want := range map[string][2]string{
+		"max_hold: 6000ms":           {"max_hold: 10ms", "jobs.yaml:13: leases.max_hold: 10ms is too short"},
+		"cpu: 0.4":                   {"cpu: 0", "jobs.yaml:3: cpu"},
+		"grace: 6s":                  {"grace: 6", "jobs.yaml:15: timing.grace"},
+		"member: front-a-1":          {"member: front-a-1\nmembers: 2", "jobs.yaml:2: members"},
+		"  store: 10.200.1.7:8621\n": {"", "platform.store"},
+	} {
+		_, err := Parse("jobs.yaml", []byte(strings.Replace(valid, replace, want[0], 1)))
+		assert.ErrorContains(t, err, want[1])
+	}
+}
