--- a/peer/call_test.go
+++ b/peer/call_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -120,13 +121,22 @@
 // A peer that reads nothing must not block callers, and a request that was not
 // written must be reported as not sent.
 func TestSlowPeerDoesNotBlock(t *testing.T) {
-	c, _ := pipeCaller(t) // Nobody reads the other end.
-	queued := 0
-	for ; c.notify(context.Background(), claimEnvelope(0)) == nil; queued++ {
-		assert.Check(t, queued <= DefaultQueueLength+maxBatch+1)
-	}
-	_, err := c.call(context.Background(), claimEnvelope(1))
-	assert.Check(t, errors.Is(err, ErrQueueFull) && !MaybeSent(err))
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := pipeCaller(t) // Nobody reads the other end.
+		queued := 0
+		fill := func() {
+			for ; c.notify(context.Background(), claimEnvelope(0)) == nil; queued++ {
+				assert.Check(t, queued <= DefaultQueueLength+maxBatch+1)
+			}
+		}
+		fill()
+		synctest.Wait() // The writer may take a batch off the queue; then it waits for the peer.
+		fill()
+		began := time.Now()
+		_, err := c.call(context.Background(), claimEnvelope(1))
+		assert.Check(t, errors.Is(err, ErrQueueFull) && !MaybeSent(err))
+		assert.Check(t, time.Since(began) == 0, "the call waited")
+	})
 }
 
 // Each hop must leave the next one less time, and a request whose time is over
