--- a/jobs/shard/random_test.go
+++ b/jobs/shard/random_test.go
@@ -120,10 +120,12 @@
 	case 5: // The owner ends without notice.
 		x.do(x.owner.Stop)
 		x.owner = x.own()
-	case 6: // The owner loses its right and is replaced; what it had sent is still under way.
+	case 6: // The owner is suspended, and resumes after it was replaced.
 		former := x.owner
 		x.do(func() { former.right = false })
 		x.owner = x.own()
+		time.Sleep(time.Duration(x.rng.IntN(2000)) * time.Millisecond)
+		x.do(func() { former.right = true })
 	case 7: // The right passes and returns.
 		x.do(func() { x.owner.right = false })
 		time.Sleep(time.Duration(x.rng.IntN(9000)) * time.Millisecond)
