claims: repeat a claim whose owner left the view before it replied

The asking process adopted the view without the owner and ended the session, so that the reply was missing and the claim had no verdict. It was answered as unknown although its request had not been dispatched. Change: such a claim is made again at once, as a claim that this process abandoned, and the next owner decides it. It is repeated only when the member whose reply is missing has left the current view, and within the time of the claim. Ruled out: waiting for a view that is not adopted yet; an owner that dies leaves the view seconds later, and callers would wait for nothing.

--- a/claims/claim.go
+++ b/claims/claim.go
@@ -23,6 +23,8 @@
 	effects bool
 	// copies holds the members that were asked to store a copy.
 	copies []fleet.MemberID
+	// unanswered is the member whose reply is missing, or "".
+	unanswered fleet.MemberID
 }
 
 // maxCopyAttempts bounds the members asked for a copy. Each gets an equal share
@@ -69,13 +71,33 @@
 func (s *Service) Claim(ctx context.Context, key Key) (Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.ClaimTimeout)
 	defer cancel()
-	a, decided := s.begin(key)
-	if decided == nil {
-		o := s.obtain(ctx, a)
-		decided = s.finish(ctx, a, o)
+	for {
+		a, decided := s.begin(key)
+		if decided == nil {
+			o := s.obtain(ctx, a)
+			decided = s.finish(ctx, a, o)
+		}
+		if s.repeatable(ctx, a, decided) {
+			continue
+		}
+		s.count(decided.verdict)
+		return decided.verdict, decided.err
+	}
+}
+
+// repeatable reports whether a claim without a verdict may be made again at
+// once: its request was not dispatched, and the member whose reply is missing
+// has left the view, so that another one decides now.
+func (s *Service) repeatable(ctx context.Context, a *attempt, o *outcome) bool {
+	if o.verdict != VerdictUnknown || a == nil || a.unanswered == "" || ctx.Err() != nil {
+		return false
 	}
-	s.count(decided.verdict)
-	return decided.verdict, decided.err
+	v, _ := s.currentView()
+	if v == nil {
+		return false
+	}
+	_, stays := v.byID[a.unanswered]
+	return !stays && v.holds(a.holder.identity)
 }
 
 // begin stores the dispatch record. It returns an outcome when the claim is
@@ -224,7 +246,7 @@
 		err = ErrUnexpected
 	}
 	if err != nil {
-		a.effects = true
+		a.effects, a.unanswered = true, member
 		return undecided(step, member, err)
 	}
 	switch answer.GetVerdict() {
--- a/claims/failure_test.go
+++ b/claims/failure_test.go
@@ -132,6 +132,28 @@
 	s.expect(t, "c", key, VerdictSeen)
 }
 
+// A member leaves the view while a claim is on its way to it, and the session
+// ends before its reply: the claim must be put to the next owner, once.
+func TestOwnerLeavesBeforeItsReply(t *testing.T) {
+	s := newSite(t, 0, "z1", "z2", "z3")
+	key := s.keyOwnedBy(t, "b")
+	claims := 0
+	s.drop = func(request, reply proto.Message) bool {
+		if _, claim := request.(*peerpb.Claim); !claim || reply == nil {
+			return false
+		}
+		if claims++; claims > 1 {
+			return false
+		}
+		s.remove(t, "b")
+		return true
+	}
+	s.expect(t, "a", key, VerdictFresh)
+	assert.Check(t, s.services["a"].Dispatchable(key))
+	s.expect(t, "a", key, VerdictSeen)
+	s.expect(t, "c", key, VerdictSeen)
+}
+
 // The same with the release arriving: any member may claim the key again.
 func TestReleaseFreesKey(t *testing.T) {
 	s := newSite(t, 0, "z1", "z1", "z3")
