Settle starts without answer by the worker's lists after 150 ms; runs that they show go on

A start without an answer was stopped after 400 ms, also when only its answer was lost and the run had begun. The lists are asked for after 150 ms; a run that they show goes on, another one is stopped, which refuses the order if it comes later. TestRunWithLostAnswerGoesOn fails before (2 starts); TestLateStartReachesNextLife looks before the start is given up, which is earlier now.

--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -54,7 +54,7 @@
 	renewDue    bool
 	lastRead    time.Duration
 	outageEnded time.Duration // When rows could be read again after a while without.
-	rejections  int // Renewals in a row that the store rejected, up to maxPauseShift.
+	rejections  int           // Renewals in a row that the store rejected, up to maxPauseShift.
 	view        view
 
 	shards      map[string]bool
--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -39,6 +39,7 @@
 			s.remove(a)
 		}
 	}
+	s.settleStarts(w, sent)
 	s.place()
 	s.flush()
 }
@@ -57,6 +58,7 @@
 		a.task.setSaved(r.Saved)
 	}
 	if a.phase == starting {
+		delete(s.unanswered[w.info.ID], key)
 		a.phase, a.answered, a.began = running, s.next(), s.o.Clock()
 	}
 }
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -22,7 +22,7 @@
 	s.noteUnanswered(w.info.ID, a.key(), now)
 	to := w.target()
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 		defer cancel()
 		clock, err := s.o.Workers.Start(ctx, to, order)
 		s.o.Loop.Post(func() { s.startAnswered(a, clock, err) })
@@ -58,7 +58,18 @@
 	if a.worker.silent++; a.worker.silent >= maxUnanswered {
 		a.worker.restUntil = now + restPeriod
 	}
-	s.stop(a)
+	a.doubted = s.next()
+	s.look(a.worker)
+}
+
+// settleStarts stops runs of which it is not known whether they began. Runs that
+// a list shows go on.
+func (s *Shard) settleStarts(w *workerState, before moment) {
+	for _, a := range w.attempts {
+		if a.phase == starting && a.doubted > 0 && a.doubted < before {
+			s.stop(a)
+		}
+	}
 }
 
 // startRefused removes an attempt that the worker refused to run.
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -153,7 +153,28 @@
 			return workertest.None
 		})
 		assert.Equal(t, r.submit(o, simpleJob(1, 2)).Code, OK)
-		r.await(o, 1, job.Completed, time.Second+orderTimeout+200*time.Millisecond)
+		r.await(o, 1, job.Completed, time.Second+startTimeout+200*time.Millisecond)
+	})
+}
+
+// Guards against work that is thrown away because only the answer to its start
+// was lost.
+func TestRunWithLostAnswerGoesOn(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(2)
+		o := r.own()
+		time.Sleep(time.Second)
+		r.fleet.SetFault(func(_ worker.ID, order string) workertest.Fault {
+			if order == "start" {
+				return workertest.Lost
+			}
+			return workertest.None
+		})
+		assert.Equal(t, r.submit(o, simpleJob(1, 3)).Code, OK)
+		r.await(o, 1, job.Completed, 1200*time.Millisecond)
+		for i := range 3 {
+			assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testID(1), Index: i}), 1)
+		}
 	})
 }
 
@@ -210,7 +231,7 @@
 			return workertest.None
 		})
 		assert.Equal(t, r.submit(o, simpleJob(1, 1)).Code, OK)
-		time.Sleep(orderTimeout / 2) // Before the start is given up.
+		time.Sleep(startTimeout / 2) // Before the start is given up.
 		r.infos = slices.Clone(r.infos)
 		r.infos[0].Born = 2
 		r.fleet.Add(r.infos[0])
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -164,7 +164,9 @@
 	// answered is when the last order about the run was answered, 0 before.
 	answered moment
 	sent     time.Duration
-	began    time.Duration // When the run was first seen.
+	// doubted is when a start was given up without an answer, 0 before.
+	doubted moment
+	began   time.Duration // When the run was first seen.
 	// ordering is set while a stop is under way.
 	ordering bool
 	percent  int
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -189,7 +189,11 @@
 		defer cancel()
 		status, err := s.o.Workers.Hold(ctx, to, order)
 		s.o.Loop.Post(func() {
-			if err == nil && !s.stopped && s.workers[w.info.ID] == w && (status.Born == 0 || status.Born == w.info.Born) {
+			if err != nil {
+				s.settleStarts(w, s.next())
+				return
+			}
+			if !s.stopped && s.workers[w.info.ID] == w && (status.Born == 0 || status.Born == w.info.Born) {
 				w.observe(status.Clock, s.o.Clock())
 				s.applyStatus(w, sent, status)
 			}
