Read the settings file again on SIGHUP and when it changes

SIGHUP was ignored and a changed file was not noticed. Times and leases are put in force for shards taken from then on; a change of the name or an address is noted and needs a restart; a faulty file is refused with its faults, and the former settings stay.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -169,6 +169,8 @@
 	MetricsListenFault Code = 9008
 	LogLinesDropped    Code = 9009
 	LogLinesLimited    Code = 9010
+	SettingsReloaded   Code = 9011
+	SettingsRefused    Code = 9012
 )
 
 // catalogue holds each code once, in ascending order. docs/EVENTS.md lists the same rows.
@@ -312,4 +314,6 @@
 	{MetricsListenFault, "metrics-listen-fault", LevelAlarm, "The listener for metrics failed."},
 	{LogLinesDropped, "log-lines-dropped", LevelWarning, "Log lines were dropped because their reader was too slow."},
 	{LogLinesLimited, "log-lines-limited", LevelWarning, "An event came more often than its rate permits; so many lines were left out."},
+	{SettingsReloaded, "settings-reloaded", LevelInfo, "A changed settings file is in force, as far as it can be without a restart."},
+	{SettingsRefused, "settings-refused", LevelWarning, "A changed settings file has faults; the former settings stay in force."},
 }
--- a/peridotcrank/jobproc/config.go
+++ b/peridotcrank/jobproc/config.go
@@ -75,7 +75,7 @@
 		}
 	}
 	p.cluster.SetShards(p.poolNames)
-	if p.settings.Platform.Machines != "" {
+	if p.live().Platform.Machines != "" {
 		p.cluster.SetShards([]string{fleetShard})
 	}
 	for _, s := range p.shards {
--- a/peridotcrank/jobproc/fleet.go
+++ b/peridotcrank/jobproc/fleet.go
@@ -22,10 +22,10 @@
 func (p *Process) startFleet(fence uint64) {
 	m, err := maintenance.New(maintenance.Options{
 		Fence: fence, Loop: p.loop, Clock: p.clock.Now, Wall: time.Now,
-		Orders: platform.NewMachines(p.settings.Platform.Machines, string(p.settings.Member)),
+		Orders: platform.NewMachines(p.live().Platform.Machines, string(p.live().Member)),
 		Owners: owners{p}, Store: p.store, Recorder: p.log, HasRight: p.hasRight(fleetShard, fence),
 		OwnerKey: cluster.OwnerKey(fleetShard), StatusRow: platform.WaveStatus,
-		MoveTime: p.settings.Timing.Move, UpkeepTime: p.settings.Timing.Upkeep,
+		MoveTime: p.live().Timing.Move, UpkeepTime: p.live().Timing.Upkeep,
 	})
 	if err != nil {
 		p.log.Record(eventlog.ShardLoadFailed, eventlog.Fields{"shard": fleetShard, "error": err})
--- a/peridotcrank/jobproc/ownership.go
+++ b/peridotcrank/jobproc/ownership.go
@@ -29,10 +29,10 @@
 		return
 	}
 	s, err := shard.New(shard.Options{
-		Pool: name, Owner: fmt.Sprintf("%s/%d", p.settings.Member, fence), Fence: fence,
-		HoldFor:   min(holdFor, p.settings.Leases.MaxHold),
-		KeepEnded: p.settings.Timing.KeepEnded + keepSlack,
-		StopTime:  p.settings.Timing.Stop,
+		Pool: name, Owner: fmt.Sprintf("%s/%d", p.live().Member, fence), Fence: fence,
+		HoldFor:   min(holdFor, p.live().Leases.MaxHold),
+		KeepEnded: p.live().Timing.KeepEnded + keepSlack,
+		StopTime:  p.live().Timing.Stop,
 		Store:     p.store, Workers: p.workers, Adviser: p.adviser, Loop: p.loop, Recorder: p.log,
 		HasRight: p.hasRight(name, fence),
 		Lost:     func() { p.cluster.Renounce(name, fence) },
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -28,7 +28,7 @@
 
 // Process runs jobs.
 type Process struct {
-	settings settings.Settings
+	settings atomic.Pointer[settings.Settings]
 	clock    monotime.Clock
 	log      *eventlog.Log
 	output   *eventlog.AsyncWriter
@@ -54,6 +54,9 @@
 	renewing  bool
 	histories map[string][]string // Former pools of each queue.
 
+	// restartNoted are the settings last read by watchSettings, on its goroutine.
+	restartNoted settings.Settings
+
 	routing atomic.Pointer[routing]
 	ready   atomic.Bool
 	leaving atomic.Bool
@@ -75,7 +78,7 @@
 		return nil, err
 	}
 	p := &Process{
-		settings: s, clock: clock, log: log, output: output, metrics: measured, loop: loop.New(),
+		clock: clock, log: log, output: output, metrics: measured, loop: loop.New(),
 		store:   measuredStore{platform.NewStore(s.Platform.Store.String()), measured},
 		workers: measuredWorkers{platform.NewWorkers(), measured}, client: relay.NewClient(),
 		shards: map[string]*shard.Shard{}, queues: shard.Queues{}, renewing: true, histories: map[string][]string{},
@@ -83,6 +86,7 @@
 	if s.Platform.Advice != "" {
 		p.adviser = platform.NewAdviser(s.Platform.Advice)
 	}
+	p.settings.Store(&s)
 	p.registry = newRegistry(p)
 	p.cluster, err = cluster.New(cluster.Options{
 		Member: string(s.Member), Incarnation: uuid.NewString(), Address: s.Listen.Peers.String(),
@@ -118,8 +122,8 @@
 // Run runs the process until ctx ends, then stops it gracefully.
 func (p *Process) Run(ctx context.Context) error {
 	defer p.closeLog()
-	p.log.Record(eventlog.ProcessStarted, eventlog.Fields{"zone": p.settings.Zone})
-	peers, err := net.Listen("tcp", p.settings.Listen.Peers.String())
+	p.log.Record(eventlog.ProcessStarted, eventlog.Fields{"zone": p.live().Zone})
+	peers, err := net.Listen("tcp", p.live().Listen.Peers.String())
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
@@ -138,14 +142,14 @@
 		go func() { faults <- s.Serve(listener) }()
 		return nil
 	}
-	if err := serve(callers, p.settings.Listen.Callers.String()); err != nil {
+	if err := serve(callers, p.live().Listen.Callers.String()); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	readiness := &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout}
-	if err := serve(readiness, p.settings.Listen.Ready.String()); err != nil {
+	if err := serve(readiness, p.live().Listen.Ready.String()); err != nil {
 		return fmt.Errorf("listen for readiness: %w", err)
 	}
-	if err := serve(p.metrics.NewHTTPServer(), p.settings.Listen.Metrics.String()); err != nil {
+	if err := serve(p.metrics.NewHTTPServer(), p.live().Listen.Metrics.String()); err != nil {
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
 	work, stopWork := context.WithCancel(context.Background())
@@ -185,7 +189,7 @@
 	p.leaving.Store(true)
 	p.loop.Post(p.handOver)
 	time.Sleep(rotationTime)
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Timing.Grace-stopReserve-time.Since(began))
+	ctx, cancel := context.WithTimeout(context.Background(), p.live().Timing.Grace-stopReserve-time.Since(began))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		p.log.Record(eventlog.ProcessStopForced, eventlog.Fields{"error": err})
--- a/peridotcrank/jobproc/run.go
+++ b/peridotcrank/jobproc/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -12,11 +13,14 @@
 func RunUntilSignal(s settings.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// The settings hold nothing that may change while the process runs.
-	signal.Ignore(syscall.SIGHUP)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	p, err := New(s)
 	if err != nil {
 		return err
 	}
+	if s.File != "" {
+		go p.watchSettings(ctx, reloads, reloadInterval)
+	}
 	return p.Run(ctx)
 }
--- a/settings/jobs/settings.go
+++ b/settings/jobs/settings.go
@@ -12,6 +12,8 @@
 
 // Settings are the settings of one process.
 type Settings struct {
+	// File is where the settings were read from; empty when they were not read from a file.
+	File string
 	// Member identifies the process. Required.
 	Member fleet.MemberID
 	// Zone is the availability zone of the process. Required.
@@ -63,7 +65,9 @@
 	if err != nil {
 		return Settings{}, fmt.Errorf("read settings: %w", err)
 	}
-	return Parse(file, data)
+	s, err := Parse(file, data)
+	s.File = file
+	return s, err
 }
 
 // Parse checks the contents of a settings file; the name serves only the messages.
