Add peridotcrank explain: one job's story from the logs of all processes

Reads the logs of all processes from standard input in any order and prints what names the id, with what happened meanwhile to the shards and workers that these lines name.

--- /dev/null
+++ b/peridotcrank/cli/explain_test.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func entry(logical int, process, event, fields string) string {
+	return fmt.Sprintf(`app-1: {"event":%q,"process":%q,"sequence":1,"logical_time":"%d","time":"t%d","level":"info",%s}`,
+		event, process, logical, logical, fields)
+}
+
+// Guards against a story that lacks what happened to the job's worker or shard,
+// has lines of other jobs, or is out of order.
+func TestExplain(t *testing.T) {
+	log := strings.Join([]string{
+		"not a line of ours",
+		entry(9, "p2", "job-ended", `"field.job":"aa11","field.state":"completed"`),
+		entry(1, "p1", "worker-gone", `"field.worker":"w1"`), // Before the job.
+		entry(5, "p1", "worker-gone", `"field.worker":"w1"`),
+		entry(3, "p1", "tasks-started", `"field.job":"aa11","field.shard":"s","field.tasks":"0/1@w1 1/1@w2"`),
+		entry(4, "p1", "tasks-started", `"field.job":"bb22","field.shard":"s","field.tasks":"0/1@w1"`),
+		entry(6, "p2", "shard-acquired", `"field.shard":"s"`),
+		entry(7, "p2", "worker-gone", `"field.worker":"w9"`),
+		entry(2, "p1", "job-accepted", `"field.job":"aa11","field.shard":"s"`),
+		entry(8, "p2", "start-refused", `"field.task":"aa11.0.0.1","field.worker":"w2"`),
+	}, "\n")
+	var out bytes.Buffer
+	a := &app{out: &out}
+	c := &explainCommand{app: a, in: strings.NewReader(log)}
+	c.Args.ID = "aa11"
+	assert.NilError(t, c.Execute(nil))
+	var events []string
+	for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		events = append(events, strings.Fields(line)[2])
+	}
+	assert.DeepEqual(t, events, []string{
+		"job-accepted", "tasks-started", "worker-gone", "shard-acquired", "start-refused", "job-ended",
+	})
+	c = &explainCommand{app: a, in: strings.NewReader(log)}
+	c.Args.ID = "cc33"
+	assert.ErrorIs(t, c.Execute(nil), errNoLines)
+}
--- a/peridotcrank/cli/tree.go
+++ b/peridotcrank/cli/tree.go
@@ -41,6 +41,7 @@
 	add(parser.Command, "entry", "Run the entry process", &entryCommand{app: a})
 	add(parser.Command, "jobs", "Run the process for jobs on the users' platform", &jobsCommand{app: a})
 	add(parser.Command, "check", "Check settings and report every fault", &checkCommand{app: a})
+	add(parser.Command, "explain", "Explain what happened to a job, from the logs of all processes on standard input", &explainCommand{app: a})
 	add(parser.Command, "completion", "Print a completion script for bash, zsh or fish", &completionCommand{app: a})
 }
 
