Give starts 400 ms again, and forget late starts of workers that are gone

Runs that the lists show still go on. Also starts without answer of workers that never return were kept for good; they are dropped after 15 s.

--- a/jobs/shard/calls.go
+++ b/jobs/shard/calls.go
@@ -191,6 +191,9 @@
 		return
 	}
 	s.lastSweep = now
+	for id := range s.unanswered {
+		s.forgetLate(id)
+	}
 	limit := s.o.Wall().Add(-s.o.KeepEnded)
 	for id, e := range s.ended {
 		if e.at.Before(limit) {
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -91,9 +91,6 @@
 	// orderTimeout is many times what a worker takes to answer an order.
 	orderTimeout = 400 * time.Millisecond
 	orderRetry   = 250 * time.Millisecond
-	// startTimeout is short, since the worker's lists settle what became of a
-	// start without answer, and the task waits meanwhile.
-	startTimeout = 150 * time.Millisecond
 	// lateOrderLimit is how late an order without an answer may be carried out.
 	lateOrderLimit = 15 * time.Second
 	// holdWait is how long a worker may wait for an end before it answers a hold.
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -22,7 +22,7 @@
 	s.noteUnanswered(w.info.ID, a.key(), now)
 	to := w.target()
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		clock, err := s.o.Workers.Start(ctx, to, order)
 		s.o.Loop.Post(func() { s.startAnswered(a, clock, err) })
