Simulated stores of tests no longer time out when the test process is paused

Cause of the entry in KNOWN-RED (TestDriverUnderFaults, once, beside load): the in-memory store's client kept the product's request timeout of 1 s of real time, so a test process that got no processor for longer failed 'refresh the fleet ... context deadline exceeded'. The timeout of the in-memory client is an hour; no check or bound of the test changed.

--- a/store/storetest/client.go
+++ b/store/storetest/client.go
@@ -16,16 +16,20 @@
 	ErrReplyLost = errors.New("reply lost")
 )
 
+// requestTimeout outlasts any pause of a test process.
+const requestTimeout = time.Hour
+
 // Transport returns a transport of a named client, with the scripted faults.
 func (t *Table) Transport(client string) store.Transport { return &transport{t, client} }
 
 // Client returns a store client of a named process, without a limit on the
 // write rate and with short retries. It resolves unknown outcomes as the real
-// one does, because it is the real one over an in-memory transport.
+// one does, because it is the real one over an in-memory transport. Its timeout
+// does not depend on how much processor the test gets.
 func (t *Table) Client(client string) *store.Client {
 	c, err := store.NewClient(t.Transport(client), store.Options{
 		WritesPerSecond: 1e6, WriteBurst: 1e6, RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond,
-		ResolutionBudget: 50 * time.Millisecond, RecoveryRamp: time.Nanosecond,
+		ResolutionBudget: 50 * time.Millisecond, RecoveryRamp: time.Nanosecond, RequestTimeout: requestTimeout,
 		// The breaker stays closed, so that the end of a scripted fault shows at once.
 		BreakerFailures: math.MaxUint32,
 	})
