Read the registry of workers only while this process owns pools

A process now follows it while it owns a pool, and an owner that has not read it yet does not take workers as unregistered.

--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -419,7 +419,7 @@
 	s.record(eventlog.ShardLoaded, eventlog.Fields{
 		"fence": s.o.Fence, "generation": head.Generation, "jobs": len(s.jobs), "workers": s.unaccounted,
 	})
-	s.SetWorkers(s.registry)
+	s.registerAll()
 	s.tick()
 }
 
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -36,6 +36,7 @@
 	placing     bool
 	adviceCalls int // Calls for advice under way.
 	registry    []worker.Info
+	listed      bool // The registry was read since this process became the owner.
 	lastSweep   time.Duration
 	// lastMoment is the last that next returned.
 	lastMoment moment
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -17,14 +17,18 @@
 
 // SetWorkers takes the pool's workers as the platform's registry lists them.
 func (s *Shard) SetWorkers(infos []worker.Info) {
-	s.registry = infos
-	if !s.active || s.stopped {
+	s.registry, s.listed = infos, true
+	s.registerAll()
+}
+
+func (s *Shard) registerAll() {
+	if !s.active || s.stopped || !s.listed {
 		return
 	}
 	for _, w := range s.workers {
 		w.registered = false
 	}
-	for _, info := range infos {
+	for _, info := range s.registry {
 		s.register(info)
 	}
 	s.place()
@@ -263,7 +267,7 @@
 	if !w.accounted && now > s.takenAt+time.Duration(float64(s.inheritedHold)/clockRate)+leaseMargin {
 		s.account(w)
 	}
-	if !w.registered && w.failures > 0 && w.accounted && len(w.attempts) == 0 {
+	if s.listed && !w.registered && w.failures > 0 && w.accounted && len(w.attempts) == 0 {
 		s.dead(w, "not registered and unreachable")
 		return
 	}
--- a/peridotcrank/jobproc/ownership.go
+++ b/peridotcrank/jobproc/ownership.go
@@ -43,8 +43,11 @@
 		return
 	}
 	s.SetQueues(p.queues)
-	s.SetWorkers(p.pools[name])
+	if p.pools != nil {
+		s.SetWorkers(p.pools[name])
+	}
 	p.shards[name] = s
+	p.watchRegistry()
 	s.Start()
 }
 
@@ -54,6 +57,7 @@
 	if s := p.shards[name]; s != nil {
 		delete(p.shards, name)
 		s.Stop()
+		p.watchRegistry()
 	}
 	if name == fleetShard {
 		p.stopFleet()
@@ -117,5 +121,6 @@
 		s.Stop()
 	}
 	clear(p.shards)
+	p.watchRegistry()
 	p.cluster.Leave(func() {})
 }
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -49,10 +49,12 @@
 	waves     []maintenance.Wave
 	queues    shard.Queues
 	version   uint64
-	registry  *registry
-	pools     map[string][]worker.Info
-	renewing  bool
-	histories map[string][]string // Former pools of each queue.
+	work      context.Context // Ends with the process's work.
+	// stopRegistry ends the reading of the registry; nil while it is not read.
+	stopRegistry context.CancelFunc
+	pools        map[string][]worker.Info // Nil until the registry was read.
+	renewing     bool
+	histories    map[string][]string // Former pools of each queue.
 
 	// restartNoted are the settings last read by watchSettings, on its goroutine.
 	restartNoted settings.Settings
@@ -87,7 +89,6 @@
 		p.adviser = platform.NewAdviser(s.Platform.Advice)
 	}
 	p.settings.Store(&s)
-	p.registry = newRegistry(p)
 	p.cluster, err = cluster.New(cluster.Options{
 		Member: string(s.Member), Incarnation: uuid.NewString(), Address: s.Listen.Peers.String(),
 		CPU: int64(s.CPU * coreMilli), Store: p.store, Loop: p.loop, Clock: clock.Now, Listener: (*ownership)(p),
@@ -154,6 +155,7 @@
 	}
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
+	p.work = work
 	go p.loop.Run(work)
 	p.loop.Post(p.cluster.Start)
 	p.watch(work)
@@ -177,8 +179,6 @@
 func (p *Process) watch(ctx context.Context) {
 	config := rows.Watcher{Store: p.store, Table: platform.OperatorTable, Changed: p.operatorChanged, State: p.feedState(platform.OperatorTable)}
 	go config.Run(ctx)
-	workers := rows.Watcher{Store: p.store, Table: platform.WorkerTable, Changed: p.registry.changed, State: p.registry.state, Gather: gatherChanges}
-	go workers.Run(ctx)
 }
 
 // stop hands the shards over, waits until no new requests come, and finishes
--- a/peridotcrank/jobproc/registry.go
+++ b/peridotcrank/jobproc/registry.go
@@ -1,6 +1,7 @@
 package jobproc
 
 import (
+	"context"
 	"time"
 
 	"peridotcrank.dev/eventlog"
@@ -16,10 +17,15 @@
 // each heartbeat.
 const gatherChanges = 250 * time.Millisecond
 
-// registry keeps the workers that the platform lists. Its methods run on the
-// watcher's goroutine; the pools that it hands out belong to the control loop.
+// registry keeps the workers that the platform lists. It is read only while this
+// process owns pools: each worker writes its entry at every heartbeat, and the
+// bytes and the processor time of reading them grow with both numbers.
+//
+// Its methods run on the watcher's goroutine; the pools that it hands out belong
+// to the control loop.
 type registry struct {
 	process  *Process
+	ctx      context.Context // Ends when this process owns no pool any more.
 	feed     func(error)
 	entries  map[string]registered
 	restored time.Time // When the store answered again after a failure.
@@ -34,8 +40,20 @@
 	valid   bool
 }
 
-func newRegistry(p *Process) *registry {
-	return &registry{process: p, feed: p.feedState(platform.WorkerTable), entries: map[string]registered{}}
+// watchRegistry follows the registry while this process owns pools. It runs on
+// the loop, after each change of the pools it owns.
+func (p *Process) watchRegistry() {
+	switch {
+	case len(p.shards) > 0 && p.stopRegistry == nil:
+		ctx, stop := context.WithCancel(p.work)
+		p.stopRegistry = stop
+		r := &registry{process: p, ctx: ctx, feed: p.feedState(platform.WorkerTable), entries: map[string]registered{}}
+		w := rows.Watcher{Store: p.store, Table: platform.WorkerTable, Changed: r.changed, State: r.state, Gather: gatherChanges}
+		go w.Run(ctx)
+	case len(p.shards) == 0 && p.stopRegistry != nil:
+		p.stopRegistry()
+		p.stopRegistry, p.pools = nil, nil
+	}
 }
 
 func (r *registry) state(err error) {
@@ -97,5 +115,9 @@
 			pools[entry.info.Pool] = append(pools[entry.info.Pool], entry.info)
 		}
 	}
-	r.process.loop.Post(func() { r.process.setWorkers(pools) })
+	r.process.loop.Post(func() {
+		if r.ctx.Err() == nil {
+			r.process.setWorkers(pools)
+		}
+	})
 }
--- /dev/null
+++ b/peridotcrank/jobproc/registry_test.go
@@ -0,0 +1,105 @@
+package jobproc
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/cluster"
+	"peridotcrank.dev/jobs/ingress"
+	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/loop"
+	"peridotcrank.dev/jobs/rows"
+	"peridotcrank.dev/jobs/rows/rowstest"
+	"peridotcrank.dev/jobs/shard"
+	"peridotcrank.dev/jobs/worker/workertest"
+	"peridotcrank.dev/platform"
+	settings "peridotcrank.dev/settings/jobs"
+)
+
+// countedStore counts the readings of the registry.
+type countedStore struct {
+	rows.Store
+	mu       sync.Mutex
+	readings int
+}
+
+func (s *countedStore) note(table string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if table == platform.WorkerTable {
+		s.readings++
+	}
+}
+
+func (s *countedStore) take() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.readings
+	s.readings = 0
+	return n
+}
+
+func (s *countedStore) Read(ctx context.Context, table, part, from string) (rows.Page, error) {
+	s.note(table)
+	return s.Store.Read(ctx, table, part, from)
+}
+
+func (s *countedStore) Feed(ctx context.Context, table string, after rows.Version, wait time.Duration) (rows.Page, error) {
+	s.note(table)
+	return s.Store.Feed(ctx, table, after, wait)
+}
+
+// newOwnerProcess returns a process on simulated time whose ownership the test controls.
+func newOwnerProcess(t *testing.T, ctx context.Context, store rows.Store) *Process {
+	log, err := eventlog.New(eventlog.Options{Process: "p", Writer: &lines{}})
+	assert.NilError(t, err)
+	p := &Process{
+		log: log, loop: loop.New(), store: store, work: ctx, shards: map[string]*shard.Shard{}, queues: shard.Queues{}, renewing: true,
+		workers: workertest.New(func(job.TaskRef, int) workertest.Plan { return workertest.Plan{} }),
+	}
+	s := settings.Settings{Member: "p"}
+	s.Leases.MaxHold, s.Timing.KeepEnded, s.Timing.Stop = 6*time.Second, time.Minute, time.Second
+	p.settings.Store(&s)
+	p.cluster, err = cluster.New(cluster.Options{
+		Member: "p", Incarnation: "1", Address: "p", CPU: coreMilli, Store: store, Loop: p.loop, Clock: p.clock.Now, Listener: (*ownership)(p),
+	})
+	assert.NilError(t, err)
+	p.forward = ingress.NewForwarder(ingress.Options{})
+	go p.loop.Run(ctx)
+	return p
+}
+
+// Guards against processes that read every worker's heartbeat although they own
+// no pool: bytes and processor time then grow with processes times workers.
+func TestRegistryIsReadByOwnersOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := &countedStore{Store: &rowstest.Store{Latency: time.Millisecond}}
+		p := newOwnerProcess(t, ctx, store)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, store.take(), 0)
+		for i := range 2 {
+			p.loop.Call(ctx, func() { (*ownership)(p).Acquired(fmt.Sprint("pool-", i), uint64(i+1)) })
+		}
+		time.Sleep(5 * time.Second)
+		n := store.take()
+		assert.Assert(t, n > 0 && n <= 5, "%d readings in 5 s by one process with two pools", n)
+		p.loop.Call(ctx, func() {
+			for i := range 2 {
+				(*ownership)(p).Released(fmt.Sprint("pool-", i))
+			}
+		})
+		time.Sleep(5 * time.Second)
+		store.take() // The feed that was under way has ended.
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, store.take(), 0)
+	})
+}
