Ask a worker whose lease passed before its runs are given up; empty VMs of a wave early

Second starts. What can happen, and fails first in a test: an owner without processor (TestStalledOwnerAsksBeforeRestart) notices passed leases before the answers that wait for it, and starts again what the worker's lists show as done. The runs of a worker are now given up only after a question that was sent after the lease had passed got no answer, and whose silence was noticed in time. 2. Tests: TestWaveEmptiesVMsEarly, TestLongRunningTasksAvoidWorkersDueForMaintenance.

--- a/jobs/maintenance/machines.go
+++ b/jobs/maintenance/machines.go
@@ -82,6 +82,8 @@
 	Vacate []worker.ID
 	// Ended are unaccounted workers that no VM has any more.
 	Ended []worker.ID
+	// Due are workers whose VMs are due for maintenance.
+	Due []worker.ID
 }
 
 // Owners asks the owners of pools.
--- a/jobs/maintenance/manager.go
+++ b/jobs/maintenance/manager.go
@@ -192,7 +192,7 @@
 			vacate = append(vacate, op.machine.Worker)
 		}
 	}
-	orders := PoolOrders{Vacate: vacate, Ended: m.ended(pool)}
+	orders := PoolOrders{Vacate: vacate, Ended: m.ended(pool), Due: m.due(pool)}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
@@ -237,6 +237,25 @@
 	return ids
 }
 
+// due returns the workers of a pool whose VMs still wait for their upkeep.
+func (m *Manager) due(pool string) (ids []worker.ID) {
+	waiting := map[string]bool{}
+	for _, w := range m.waves {
+		if !w.loaded || w.completed {
+			continue
+		}
+		for _, name := range w.Machines {
+			waiting[name] = waiting[name] || !w.done[name]
+		}
+	}
+	for i := range m.machines {
+		if v := &m.machines[i]; v.Pool == pool && v.Worker != "" && waiting[v.Name] {
+			ids = append(ids, v.Worker)
+		}
+	}
+	return ids
+}
+
 func (m *Manager) machine(name string) (Machine, bool) {
 	for _, machine := range m.machines {
 		if machine.Name == name {
--- a/jobs/maintenance/planner.go
+++ b/jobs/maintenance/planner.go
@@ -63,6 +63,11 @@
 	leastMoves    = 24
 	// upkeepCycle is about how long a VM takes to be vacated and serviced.
 	upkeepCycle = 5 * time.Second
+	// emptyingShare is the share of a pool's VMs with long-running tasks that are
+	// emptied for a wave at the same time, ahead of what the wave's time requires.
+	// Few tasks of a step may be away at once, so that VMs which share its tasks
+	// are emptied one after the other.
+	emptyingShare = 0.06
 	// deadlineReserve is the time before a wave's deadline at which it should be done.
 	deadlineReserve = 6 * time.Second
 )
@@ -198,14 +203,27 @@
 		}
 	}
 	slices.SortStableFunc(left, func(a, b *Machine) int { return cmp.Compare(p.cost(a), p.cost(b)) })
+	emptying := p.emptying(w)
 	allowed := w.Cap - underway
 	due := p.dueNow(w, len(left)) - underway
+	waitingFor := 0 // VMs that may take long to empty; those without long-running tasks go on beside them.
+	for _, n := range emptying {
+		waitingFor += n
+	}
 	for _, m := range left {
 		if allowed <= 0 {
 			return
 		}
-		if p.cost(m) > 0 && due <= 0 {
-			return
+		required := due
+		if p.lasting(m) == 0 {
+			required += waitingFor
+		}
+		early := p.mayEmpty(m, emptying)
+		if p.cost(m) > 0 && required <= 0 && !early {
+			continue
+		}
+		if early {
+			emptying[m.Pool]++
 		}
 		allowed--
 		due--
@@ -213,6 +231,35 @@
 	}
 }
 
+// lasting returns the number of long-running tasks on a VM.
+func (p *plan) lasting(m *Machine) int { return p.s.Demands[m.Pool].Workers[m.Worker].Lasting }
+
+// emptying counts the VMs of a wave, by pool, whose long-running tasks are being moved.
+func (p *plan) emptying(w *WaveState) map[string]int {
+	n := map[string]int{}
+	for _, name := range w.Machines {
+		m := p.byName[name]
+		if pending, ok := p.s.Pending[name]; ok && pending.Kind == Upkeep && m != nil && p.lasting(m) > 0 {
+			n[m.Pool]++
+		}
+	}
+	return n
+}
+
+// mayEmpty reports whether a VM with long-running tasks may be emptied ahead of time.
+func (p *plan) mayEmpty(m *Machine, emptying map[string]int) bool {
+	if p.lasting(m) == 0 || p.isPressed(m) {
+		return false
+	}
+	return emptying[m.Pool] < max(1, int(math.Round(emptyingShare*p.pool(m.Pool).have)))
+}
+
+// isPressed reports whether a VM's pool lacks room without it.
+func (p *plan) isPressed(m *Machine) bool {
+	pl := p.pool(m.Pool)
+	return m.Pool != p.s.Spare && pl.have-1 < pl.need
+}
+
 // dueNow returns how many VMs of a wave must be under way now to be in time.
 func (p *plan) dueNow(w *WaveState, left int) int {
 	remaining := w.Deadline - deadlineReserve - p.s.Now
@@ -225,15 +272,13 @@
 // cost orders VMs by how much their absence hurts: 0 for idle ones in pools
 // with room, then those in use, then those of pools under pressure.
 func (p *plan) cost(m *Machine) int {
-	pl := p.pool(m.Pool)
 	cost := 0
-	if pl.have-1 < pl.need && m.Pool != p.s.Spare {
+	if p.isPressed(m) {
 		cost += 4
 	}
 	if !p.isIdle(m) {
-		use := p.s.Demands[m.Pool].Workers[m.Worker]
 		cost++
-		if use.Lasting > 0 {
+		if p.lasting(m) > 0 {
 			cost++
 		}
 	}
--- a/jobs/maintenance/planner_test.go
+++ b/jobs/maintenance/planner_test.go
@@ -120,6 +120,30 @@
 	assert.Equal(t, count(Plan(s), Upkeep, ""), 4)
 }
 
+// Guards against a wave that leaves VMs with long-running tasks to its end, where
+// few of their tasks may be away at once and the last VMs come late; against too
+// many of them emptied at once; and against emptying in a pool that lacks room.
+func TestWaveEmptiesVMsEarly(t *testing.T) {
+	s := fleetOf(map[string]int{"a": 50, "b": 50})
+	names := []string{}
+	for _, m := range s.Machines {
+		names = append(names, m.Name)
+		s.Demands[m.Pool].Workers[m.Worker] = Use{Tasks: 2, Lasting: 2}
+	}
+	s.Waves = []WaveState{{Wave: Wave{Number: 1, Machines: names, Cap: 40}, Done: map[string]bool{}, Deadline: time.Hour}}
+	perPool := map[byte]int{}
+	for _, d := range Plan(s) {
+		perPool[d.Machine[0]]++
+		s.Pending[d.Machine] = d
+	}
+	assert.DeepEqual(t, perPool, map[byte]int{'a': 3, 'b': 3})
+	s.Waves[0].Underway = 6
+	assert.Equal(t, len(Plan(s)), 0)
+	s.Pending, s.Waves[0].Underway = map[string]Decision{}, 0
+	demand(s, "a", 5000)
+	assert.Equal(t, count(Plan(s), Upkeep, ""), 3)
+}
+
 // Guards against a second order for a VM that one is being carried out for.
 func TestPendingVMsAreLeftAlone(t *testing.T) {
 	s := fleetOf(map[string]int{"a": 1, "b": 4})
--- a/jobs/scheduler/choose.go
+++ b/jobs/scheduler/choose.go
@@ -12,9 +12,9 @@
 	Capacity job.Resources
 	Rack     string
 	Labels   []string
-	// Penalty orders workers that are otherwise equal: higher is worse, for
-	// example for a worker that failed lately or is due for maintenance.
-	Penalty int
+	// Due is set for a worker whose VM is due for maintenance. Long-running tasks
+	// avoid it, since they would have to be moved soon.
+	Due bool
 }
 
 // Constraint narrows the choice for one task.
@@ -35,9 +35,10 @@
 
 // Choose returns the worker for one task of a step, or None.
 //
-// Among the workers that fit, it prefers those near the data, then those with
-// a low penalty, then few tasks of the step on the rack where that matters, and
-// then the tightest fit, so that large tasks find room elsewhere.
+// Among the workers that fit, it prefers those near the data, then, for a
+// long-running task, those that are not due for maintenance, then few tasks of the
+// step on the rack where that matters, and then the tightest fit, so that large
+// tasks find room elsewhere.
 func Choose(nodes []Node, c Constraint) int {
 	best := None
 	var bestRank rank
@@ -72,20 +73,20 @@
 }
 
 type rank struct {
-	far     bool
-	penalty int
-	spread  int
-	left    int64 // Processor left after the placement, in thousandths of a core.
-	memory  int64 // Memory left after the placement, in MB.
+	far    bool
+	due    bool
+	spread int
+	left   int64 // Processor left after the placement, in thousandths of a core.
+	memory int64 // Memory left after the placement, in MB.
 }
 
 func rankOf(n *Node, c Constraint, i int) rank {
 	charge := c.Step.Charge()
 	r := rank{
-		far:     c.Step.PreferredRack != "" && n.Rack != c.Step.PreferredRack,
-		penalty: n.Penalty,
-		left:    n.Free.CPU - charge.CPU,
-		memory:  n.Free.MemoryMB - charge.MemoryMB,
+		far:    c.Step.PreferredRack != "" && n.Rack != c.Step.PreferredRack,
+		due:    c.Step.LongRunning && n.Due,
+		left:   n.Free.CPU - charge.CPU,
+		memory: n.Free.MemoryMB - charge.MemoryMB,
 	}
 	if c.Spread != nil {
 		r.spread = c.Spread(i)
@@ -97,8 +98,8 @@
 	switch {
 	case r.far != o.far:
 		return !r.far
-	case r.penalty != o.penalty:
-		return r.penalty < o.penalty
+	case r.due != o.due:
+		return !r.due
 	case r.spread != o.spread:
 		return r.spread < o.spread
 	case r.left != o.left:
--- a/jobs/scheduler/scheduler_test.go
+++ b/jobs/scheduler/scheduler_test.go
@@ -45,6 +45,19 @@
 	assert.Equal(t, Choose(nodes, Constraint{Step: near, OnNode: none}), 2)
 }
 
+// Guards against a long-running task that is placed on a worker from which it must
+// be moved again soon, and against short tasks that leave that room unused.
+func TestLongRunningTasksAvoidWorkersDueForMaintenance(t *testing.T) {
+	nodes := []Node{node(1500, 8000, "r1"), node(8000, 8000, "r1")}
+	nodes[0].Due = true
+	lasting := step(1000, 100)
+	lasting.LongRunning = true
+	assert.Equal(t, Choose(nodes, Constraint{Step: lasting, OnNode: none}), 1)
+	assert.Equal(t, Choose(nodes, Constraint{Step: step(1000, 100), OnNode: none}), 0)
+	nodes[1].Free = job.Resources{}
+	assert.Equal(t, Choose(nodes, Constraint{Step: lasting, OnNode: none}), 0)
+}
+
 // Guards against a gang of which some members find no room, and against one
 // that is spread over racks although one has room.
 func TestChooseAll(t *testing.T) {
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -91,6 +91,8 @@
 	// orderTimeout is many times what a worker takes to answer an order.
 	orderTimeout = 400 * time.Millisecond
 	orderRetry   = 250 * time.Millisecond
+	// stallLimit is the delay of this process from which it has noticed silence late.
+	stallLimit = 500 * time.Millisecond
 	// lateOrderLimit is how late an order without an answer may be carried out.
 	lateOrderLimit = 15 * time.Second
 	// holdWait is how long a worker may wait for an end before it answers a hold.
--- a/jobs/shard/place.go
+++ b/jobs/shard/place.go
@@ -106,7 +106,7 @@
 	slices.SortFunc(p.workers, func(a, b *workerState) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	for _, w := range p.workers {
 		p.nodes = append(p.nodes, scheduler.Node{
-			Free: w.free(), Capacity: w.info.Capacity, Rack: w.rack(), Labels: w.info.Labels,
+			Free: w.free(), Capacity: w.info.Capacity, Rack: w.rack(), Labels: w.info.Labels, Due: p.now < w.due,
 		})
 	}
 	return p
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -412,3 +412,24 @@
 	_, err := New(Options{})
 	assert.Assert(t, err != nil && !errors.Is(err, errHeadChanged))
 }
+
+// Guards against the second start of a task that has ended, by an owner that was
+// without processor while its worker could be reached again: the worker's lease
+// has passed, but its lists would show the end.
+func TestStalledOwnerAsksBeforeRestart(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(2)
+		r.fleet.SetBehaviour(func(job.TaskRef, int) workertest.Plan { return workertest.Plan{Duration: 3 * time.Second} })
+		o := r.own()
+		time.Sleep(time.Second)
+		assert.Equal(t, r.submit(o, simpleJob(1, 1)).Code, OK)
+		time.Sleep(time.Second)
+		r.fleet.SetDark("w0", true)
+		time.Sleep(testHold - 500*time.Millisecond)
+		r.loop.Post(func() { time.Sleep(2 * time.Second) })
+		time.Sleep(100 * time.Millisecond)
+		r.fleet.SetDark("w0", false)
+		r.await(o, 1, job.Completed, 4*time.Second)
+		assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testID(1)}), 1)
+	})
+}
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -183,8 +183,11 @@
 	registered bool // The platform's registry lists it.
 	recorded   bool // Its row is committed, so that a later owner asks it.
 	recording  bool
-	accounted  bool // It answered this owner, or its leases have passed.
-	vacating   time.Duration
+	accounted  bool          // It answered this owner, or its leases have passed.
+	vacating   time.Duration // Until when it gets no new tasks.
+	due        time.Duration // Until when its VM counts as due for maintenance.
+	asking     bool          // Asked for its lists since its lease passed.
+	looked     time.Duration // When its lists were last asked for beside a hold.
 	since      time.Duration // When this life became known.
 	used       job.Resources
 	attempts   map[runKey]*attempt
@@ -222,6 +225,11 @@
 	return w.clockAt + time.Duration(float64(left)/clockRate) + leaseMargin
 }
 
+// leasePassed reports whether the lease of a worker that does not answer has passed.
+func (w *workerState) leasePassed(now time.Duration) bool {
+	return w.failures > 0 && len(w.attempts) > 0 && w.clock > 0 && now > w.leaseEnd()
+}
+
 func (w *workerState) free() job.Resources { return w.info.Capacity.Minus(w.used) }
 
 func (w *workerState) rack() string {
--- a/jobs/shard/vacate.go
+++ b/jobs/shard/vacate.go
@@ -9,8 +9,15 @@
 	"peridotcrank.dev/jobs/worker"
 )
 
-// vacateFor is how long a request to vacate a worker lasts.
-const vacateFor = 1500 * time.Millisecond
+const (
+	// vacateFor is how long a request to vacate a worker lasts.
+	vacateFor = 1500 * time.Millisecond
+	// dueFor is how long a worker counts as due for maintenance after it was named.
+	dueFor = 3 * time.Second
+	// lookGap is the least time between two looks at a worker on which a task starts
+	// up whose step another evacuation waits for.
+	lookGap = 150 * time.Millisecond
+)
 
 // Use is what runs on a worker.
 type Use struct {
@@ -42,6 +49,8 @@
 	Vacate []worker.ID
 	// Ended are workers that have certainly ended.
 	Ended []worker.ID
+	// Due are workers whose VMs are due for maintenance.
+	Due []worker.ID
 }
 
 // Report carries out orders and returns the use of the workers.
@@ -62,6 +71,11 @@
 			s.forgetVacated(w)
 		}
 	}
+	for _, id := range orders.Due {
+		if w := s.workers[id]; w != nil {
+			w.due = now + dueFor
+		}
+	}
 	var r Report
 	for _, w := range s.workers {
 		if !w.accounted {
@@ -113,7 +127,11 @@
 		if a.task == nil || a.phase != running || !a.task.step.spec.LongRunning || !a.task.step.job.alive() {
 			continue
 		}
-		if !a.task.step.permitsDisruption(a.task, s.o.Clock()) || !s.hasRoom(a.task.step) {
+		if !a.task.step.permitsDisruption(a.task, s.o.Clock()) {
+			s.lookAtStarting(a.task.step)
+			continue
+		}
+		if !s.hasRoom(a.task.step) {
 			continue
 		}
 		s.record(eventlog.TaskEvacuated, eventlog.Fields{"task": a.ref.String(), "run": a.run, "worker": w.info.ID})
@@ -121,6 +139,20 @@
 	}
 }
 
+// lookAtStarting asks the workers on which tasks of a step start up whether they
+// are at work, since a hold that waits for an end does not tell.
+func (s *Shard) lookAtStarting(step *stepState) {
+	now := s.o.Clock()
+	for _, t := range step.tasks {
+		for _, a := range t.attempts {
+			if a.phase == running && a.percent < fullPercent && now-a.worker.looked >= lookGap {
+				a.worker.looked = now
+				s.look(a.worker)
+			}
+		}
+	}
+}
+
 // permitsDisruption reports whether a task may be interrupted: fewer others of
 // its step than the bound are away.
 func (s *stepState) permitsDisruption(t *task, now time.Duration) bool {
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -184,25 +184,54 @@
 
 // look asks for a worker's lists at once, beside a hold that waits for an end.
 func (s *Shard) look(w *workerState) {
-	if !s.canAct() || s.workers[w.info.ID] != w {
+	s.ask(w, func(err error) {
+		if err != nil {
+			s.settleStarts(w, s.next())
+		}
+	})
+}
+
+// askBeforeGivingUp gives up the runs of a worker whose lease has passed, unless
+// it answers now: its silence may be that of this process, which had no processor
+// meanwhile, and its lists show which runs have ended. Silence that this process
+// noticed late says nothing of the worker now.
+func (s *Shard) askBeforeGivingUp(w *workerState) {
+	if w.asking {
 		return
 	}
+	sent := s.o.Clock()
+	w.asking = s.ask(w, func(err error) {
+		w.asking = false
+		now := s.o.Clock()
+		if err == nil || s.stopped || !w.leasePassed(now) || now-sent > orderTimeout+stallLimit {
+			return
+		}
+		s.record(eventlog.WorkerLeasePassed, eventlog.Fields{"worker": w.info.ID, "runs": len(w.attempts)})
+		s.dropAttempts(w)
+		s.place()
+	})
+}
+
+// ask asks for a worker's lists, applies them and reports the outcome to done. It
+// returns false when the worker cannot be asked now.
+func (s *Shard) ask(w *workerState, done func(error)) bool {
+	if !s.canAct() || s.workers[w.info.ID] != w {
+		return false
+	}
 	sent, to, order := s.next(), w.target(), worker.Hold{Fence: s.o.Fence, AckedUpTo: w.committed}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		status, err := s.o.Workers.Hold(ctx, to, order)
 		s.o.Loop.Post(func() {
-			if err != nil {
-				s.settleStarts(w, s.next())
-				return
-			}
-			if !s.stopped && s.workers[w.info.ID] == w && (status.Born == 0 || status.Born == w.info.Born) {
+			if err == nil && !s.stopped && s.workers[w.info.ID] == w && (status.Born == 0 || status.Born == w.info.Born) {
 				w.observe(status.Clock, s.o.Clock())
 				s.applyStatus(w, sent, status)
 			}
+			done(err)
 		})
 	}()
+	return true
 }
 
 func (s *Shard) held(w *workerState, sent moment, status worker.Status, err error) {
@@ -257,9 +286,8 @@
 	if w.registered {
 		s.recordWorker(w)
 	}
-	if w.failures > 0 && len(w.attempts) > 0 && w.clock > 0 && now > w.leaseEnd() {
-		s.record(eventlog.WorkerLeasePassed, eventlog.Fields{"worker": w.info.ID, "runs": len(w.attempts)})
-		s.dropAttempts(w)
+	if w.leasePassed(now) {
+		s.askBeforeGivingUp(w)
 	}
 	if w.failures > 0 && w.clock == 0 && (!w.registered || now > w.since+lateOrderLimit+s.o.HoldFor) {
 		s.dropAttempts(w) // Late starts were neither answered nor can they still run.
--- a/peridotcrank/jobproc/fleet.go
+++ b/peridotcrank/jobproc/fleet.go
@@ -59,6 +59,7 @@
 func (o owners) Report(ctx context.Context, pool string, orders maintenance.PoolOrders) (maintenance.Demand, error) {
 	request := &jobpb.Request{
 		Call: jobpb.Call_CALL_REPORT, Shard: pool, Workers: toNames(orders.Vacate), Ended: toNames(orders.Ended),
+		Due: toNames(orders.Due),
 	}
 	answer := o.p.forward.Call(ctx, request)
 	if answer.Code != jobpb.Code_CODE_OK || answer.Report == nil {
@@ -76,7 +77,7 @@
 }
 
 func (p *Process) report(s *shard.Shard, request *jobpb.Request) *jobpb.Reply {
-	r, ok := s.Report(shard.Orders{Vacate: fromNames(request.Workers), Ended: fromNames(request.Ended)})
+	r, ok := s.Report(shard.Orders{Vacate: fromNames(request.Workers), Ended: fromNames(request.Ended), Due: fromNames(request.Due)})
 	if !ok {
 		return &jobpb.Reply{Code: jobpb.Code_CODE_REFUSED}
 	}
