Let processes take vacant shards one after the other, and settle for 0.6 s

Cause: a vacant shard was assigned to one process by each process's view, and all others waited 2 s. Now each process has a turn, 250 ms after the one before; a renewal counts for 2.6 s (1.6 s between renewals, 0.8 s between readings) in place of 4 s; and a new process takes shards 0.6 s after its first renewal in place of 1.2 s. Tests: TestRestartBesideRowOfLostProcess fails before. TestManyFailTogether passes before, too, and is kept as a bound.

--- a/jobs/cluster/assign.go
+++ b/jobs/cluster/assign.go
@@ -22,9 +22,7 @@
 				best = m
 				continue
 			}
-			// Compares cpu/(load+1) without division.
-			mine, others := cpu*(load[best]+1), members[best]*(load[m]+1)
-			if mine > others || mine == others && before(shard, m, best) {
+			if prefers(shard, candidate{m, cpu, load[m]}, candidate{best, members[best], load[best]}) {
 				best = m
 			}
 		}
@@ -36,6 +34,33 @@
 	return to
 }
 
+// candidate is a process that may take a shard.
+type candidate struct {
+	member string
+	cpu    int64
+	load   int64 // Shards that it has.
+}
+
+// prefers reports whether a shard goes to a rather than to b.
+func prefers(shard string, a, b candidate) bool {
+	// Compares cpu/(load+1) without division.
+	if mine, others := a.cpu*(b.load+1), b.cpu*(a.load+1); mine != others {
+		return mine > others
+	}
+	return before(shard, a.member, b.member)
+}
+
+// rank returns how many processes a shard goes to rather than to a member.
+func rank(shard, member string, members map[string]int64, owned map[string]int) (n int) {
+	own := candidate{member, members[member], int64(owned[member])}
+	for m, cpu := range members {
+		if m != member && prefers(shard, candidate{m, cpu, int64(owned[m])}, own) {
+			n++
+		}
+	}
+	return n
+}
+
 func before(shard, a, b string) bool {
 	if ha, hb := hash(shard, a), hash(shard, b); ha != hb {
 		return ha < hb
--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -8,8 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"peridotcrank.dev/jobs/jobpb"
 	"peridotcrank.dev/jobs/loop"
 	"peridotcrank.dev/jobs/rows"
 	"peridotcrank.dev/jobs/rows/rowstest"
@@ -293,6 +295,54 @@
 	}
 }
 
+// Guards against shards that stay without owner for seconds since they were
+// assigned to processes that failed together with their owner.
+func TestManyFailTogether(t *testing.T) {
+	const longest = 4600 * time.Millisecond // A right, its margin, a reading and two turns.
+	for first := range 4 {
+		withGroup(t, 12, func(g *group) {
+			g.watch(6 * time.Second)
+			for i, m := range g.members {
+				owns := false
+				g.do(func() { owns = len(m.owns) > 0 })
+				if owns || (i+first)%2 == 0 {
+					m.store.set(rowstest.Silent)
+				}
+			}
+			g.watch(longest)
+			g.do(func() {
+				for _, shard := range g.shards {
+					assert.Equal(g.t, len(g.actors(shard)), 1, "shard %s has no owner %v after half of the processes failed", shard, longest)
+				}
+			})
+		})
+	}
+}
+
+// Guards against shards without owner for seconds after a restart of everything,
+// since they are assigned to a process that is gone but whose row is still there.
+func TestRestartBesideRowOfLostProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		g := &group{t: t, loop: loop.New(), store: &rowstest.Store{Latency: 4 * time.Millisecond}, shards: []string{"a", "b", "c"}}
+		lost, err := proto.Marshal(&jobpb.Member{Incarnation: "lost-1", Address: "lost", CpuMilli: 4000})
+		assert.NilError(t, err)
+		g.store.Put(rows.Row{Key: memberKey("lost"), Value: lost})
+		go g.loop.Run(ctx)
+		for range 4 {
+			g.add()
+		}
+		g.watch(1700 * time.Millisecond)
+		g.do(func() {
+			for _, shard := range g.shards {
+				assert.Equal(t, len(g.actors(shard)), 1, "shard %s has no owner", shard)
+			}
+		})
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // Guards against processes that disagree on who takes a vacant shard.
 func TestAssignIsBalanced(t *testing.T) {
 	members := map[string]int64{"x": 400, "y": 400}
--- a/jobs/cluster/options.go
+++ b/jobs/cluster/options.go
@@ -60,8 +60,9 @@
 	// takeoverMargin is added to a right before it is taken as passed: it covers
 	// clocks that differ by up to 2 % and the time between a reading and its use.
 	takeoverMargin = 300 * time.Millisecond
-	// settleTime is how long a new process waits for others to appear before it takes shards.
-	settleTime = 1200 * time.Millisecond
+	// settleTime is how long a new process waits for others to appear before it takes
+	// shards. Processes that start together renew for the first time within that time.
+	settleTime = 600 * time.Millisecond
 	// outageGap is the time without a reading that counts as an outage of the store.
 	outageGap = 2 * time.Second
 	// returnTime is how long live owners take to renew after an outage: the call that
@@ -69,8 +70,12 @@
 	returnTime = 1200 * time.Millisecond
 	// vacancyLimit is how long a shard may be without owner before any process takes it.
 	vacancyLimit = 2 * time.Second
-	// aliveWindow is the age up to which a renewal counts a member for the assignment of shards.
-	aliveWindow = 4 * time.Second
+	// takeoverStep is the time between the turns of two processes to take a shard.
+	takeoverStep = 250 * time.Millisecond
+	// aliveWindow is the age up to which a renewal counts a member for the assignment
+	// of shards: processes renew every 1.6 s and read every 0.8 s. Those that failed
+	// together with an owner are out of it when its right has passed.
+	aliveWindow = 2600 * time.Millisecond
 )
 
 // Validate reports options that cannot be used.
--- a/jobs/cluster/takeover.go
+++ b/jobs/cluster/takeover.go
@@ -56,9 +56,13 @@
 		delete(m.vacantSince, shard)
 		owned[m.owners[shard].record.Member]++
 	}
-	assigned := assign(vacant, m.alive(now), owned)
+	alive := m.alive(now)
+	assigned := assign(vacant, alive, owned)
 	for _, shard := range vacant {
-		overdue := now-m.vacantSince[shard] > vacancyLimit
+		// The process that it is assigned to may have failed too, so that the
+		// others follow, one after the other.
+		turn := time.Duration(rank(shard, m.o.Member, alive, owned)+1) * takeoverStep
+		overdue := now-m.vacantSince[shard] > min(turn, vacancyLimit)
 		// Other processes do not know that the shard was renounced.
 		if (assigned[shard] == m.o.Member || overdue || m.isRenounced(shard)) && !m.taking[shard] {
 			m.take(shard)
