--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -81,6 +81,8 @@
 	WorkerJoined       Code = 4535
 	RenewalFailed      Code = 4540
 	RenewalRestored    Code = 4541
+	StoreThroughPeer   Code = 4542
+	StoreOwnWay        Code = 4543
 	FeedInterrupted    Code = 4550
 	FeedRestored       Code = 4551
 	EntryUnreadable    Code = 4552
@@ -242,6 +244,8 @@
 	{WorkerJoined, "worker-joined", LevelInfo, "A worker answered for the first time and gets tasks."},
 	{RenewalFailed, "renewal-failed", LevelWarning, "The renewal of this process's row failed; its right to act passes soon."},
 	{RenewalRestored, "renewal-restored", LevelInfo, "The renewal of this process's row succeeds again."},
+	{StoreThroughPeer, "store-through-peer", LevelWarning, "The table service does not serve this process; calls go through another one."},
+	{StoreOwnWay, "store-own-way", LevelInfo, "Calls to the table service begin at this process again."},
 	{FeedInterrupted, "feed-interrupted", LevelWarning, "Changes of a table of the platform cannot be read."},
 	{FeedRestored, "feed-restored", LevelInfo, "Changes of a table of the platform are read again."},
 	{EntryUnreadable, "entry-unreadable", LevelWarning, "An entry of the platform's registry cannot be decoded; it is left out."},
--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -65,6 +66,7 @@
 	taking      map[string]bool
 	renounced   map[string]uint64 // Fences under which this process no longer acts.
 	directory   Directory
+	peers       []string
 }
 
 // New returns a manager. Start begins the renewals.
@@ -294,6 +296,7 @@
 	m.dropLost(m.view.version)
 	m.adoptDelayed()
 	m.publish()
+	m.publishPeers(now)
 	m.takeVacant(now)
 }
 
@@ -338,3 +341,18 @@
 		m.o.Listener.DirectoryChanged(directory)
 	}
 }
+
+// publishPeers hands out the addresses of the processes that renewed lately.
+func (m *Manager) publishPeers(now time.Duration) {
+	var peers []string
+	for name := range m.alive(now) {
+		if name != m.o.Member {
+			peers = append(peers, m.members[name].record.Address)
+		}
+	}
+	slices.Sort(peers)
+	if !slices.Equal(peers, m.peers) {
+		m.peers = peers
+		m.o.Listener.PeersChanged(peers)
+	}
+}
--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -71,6 +71,7 @@
 func (m *member) Released(shard string)           { delete(m.owns, shard) }
 func (m *member) Renewed(error)                   {}
 func (m *member) DirectoryChanged(d Directory)    { m.directory = d }
+func (m *member) PeersChanged([]string)           {}
 
 // acts reports whether the member may act for a shard.
 func (m *member) acts(shard string) bool { return m.owns[shard] && m.HasRight() }
--- a/jobs/cluster/options.go
+++ b/jobs/cluster/options.go
@@ -45,6 +45,8 @@
 	Renewed(err error)
 	// DirectoryChanged hands out the owners of all shards.
 	DirectoryChanged(Directory)
+	// PeersChanged hands out the addresses of the other live processes.
+	PeersChanged(addresses []string)
 }
 
 const (
--- a/jobs/cluster/takeover.go
+++ b/jobs/cluster/takeover.go
@@ -90,7 +90,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), m.o.CallTimeout)
 		defer cancel()
 		result, err := m.o.Store.Commit(ctx, tx)
-		if err != nil && !errors.Is(err, rows.ErrNotDone) {
+		if err == nil && !result.Applied || err != nil && !errors.Is(err, rows.ErrNotDone) {
+			// An earlier try may have been applied.
 			result, err = m.settle(ctx, key, owner, former.version)
 		}
 		m.o.Loop.Post(func() { m.taken(shard, result, err) })
--- /dev/null
+++ b/jobs/rows/rowsrelay/relay_test.go
@@ -0,0 +1,77 @@
+package rowsrelay
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/jobs/jobpb"
+	"peridotcrank.dev/jobs/relay"
+	"peridotcrank.dev/jobs/rows"
+	"peridotcrank.dev/jobs/rows/rowstest"
+)
+
+// peers answers calls by the store of each address; addresses without one are not reached.
+type peers map[string]rows.Store
+
+func (p peers) Call(ctx context.Context, address string, request *jobpb.Request) (*jobpb.Reply, error) {
+	store, ok := p[address]
+	if !ok {
+		return nil, relay.ErrNotSent
+	}
+	return Answer(ctx, store, request.Store), nil
+}
+
+// Guards against calls that change on their way through another process.
+func TestCallsArriveUnchanged(t *testing.T) {
+	table := &rowstest.Store{}
+	s := New(peers{"a": table})
+	ctx := context.Background()
+	_, err := s.Read(ctx, "t", "p", "")
+	assert.Assert(t, errors.Is(err, rows.ErrNotDone)) // No other process is known.
+	s.SetPeers([]string{"a"})
+	key := rows.Key{Table: "t", Part: "p", Name: "n"}
+	tx := rows.Tx{Expect: []rows.Expectation{{Key: key}}, Set: []rows.Row{{Key: key, Value: []byte{0, 1}}}}
+	result, err := s.Commit(ctx, tx)
+	assert.NilError(t, err)
+	assert.Assert(t, result.Applied && result.Version > 0)
+	again, err := s.Commit(ctx, tx)
+	assert.NilError(t, err)
+	assert.Assert(t, !again.Applied)
+	want := rows.Row{Key: key, Value: []byte{0, 1}, Version: result.Version}
+	assert.DeepEqual(t, again.Found, []rows.Row{want})
+	page, err := s.Read(ctx, "t", "p", "n")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, page.Rows, []rows.Row{want})
+	deleted, err := s.Commit(ctx, rows.Tx{Expect: []rows.Expectation{{Key: key, Version: result.Version}}, Delete: []rows.Key{key}})
+	assert.NilError(t, err)
+	page, err = s.Feed(ctx, "t", result.Version, 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, page.Rows, []rows.Row{{Key: key, Version: deleted.Version, Deleted: true}})
+	table.Forget()
+	_, err = s.Feed(ctx, "t", 0, 0)
+	assert.Assert(t, errors.Is(err, rows.ErrHistoryGone))
+}
+
+// Guards against a process that goes on through one that is gone or is not served
+// either, and against a commit that is reported as not done though it may have been.
+func TestAnotherProcessIsTried(t *testing.T) {
+	table, down := &rowstest.Store{}, &rowstest.Store{}
+	down.SetFault(func(rows.Tx) rowstest.Fault { return rowstest.Down })
+	s := New(peers{"served": table, "refused": down})
+	s.SetPeers([]string{"gone", "refused", "served"})
+	key := rows.Key{Table: "t", Name: "n"}
+	applied := false
+	for range 50 {
+		result, err := s.Commit(context.Background(), rows.Tx{Expect: []rows.Expectation{{Key: key}}, Set: []rows.Row{{Key: key}}})
+		if applied = err == nil && result.Applied; applied {
+			break
+		}
+		assert.Assert(t, errors.Is(err, rows.ErrNotDone))
+	}
+	assert.Assert(t, applied)
+	reply := Answer(context.Background(), table, nil)
+	assert.Equal(t, reply.Code, jobpb.Code_CODE_INVALID)
+}
--- a/peridotcrank/jobproc/calls.go
+++ b/peridotcrank/jobproc/calls.go
@@ -5,6 +5,7 @@
 
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/jobpb"
+	"peridotcrank.dev/jobs/rows/rowsrelay"
 	"peridotcrank.dev/jobs/shard"
 )
 
@@ -21,6 +22,9 @@
 
 // answerPeer answers a call of another process.
 func (p *Process) answerPeer(ctx context.Context, request *jobpb.Request) *jobpb.Reply {
+	if request.Call == jobpb.Call_CALL_STORE {
+		return rowsrelay.Answer(ctx, p.ownStore, request.Store)
+	}
 	if r := p.answerLocal(ctx, request); r != nil {
 		return r
 	}
--- a/peridotcrank/jobproc/config.go
+++ b/peridotcrank/jobproc/config.go
@@ -100,6 +100,15 @@
 	return former
 }
 
+// storeWayChanged records where calls to the store begin.
+func (p *Process) storeWayChanged(throughPeer bool) {
+	code := eventlog.StoreOwnWay
+	if throughPeer {
+		code = eventlog.StoreThroughPeer
+	}
+	p.log.Record(code, eventlog.Fields{})
+}
+
 // feedState returns a function that records when a table's changes cannot be read.
 func (p *Process) feedState(table string) func(error) {
 	failing := false
--- a/peridotcrank/jobproc/ownership.go
+++ b/peridotcrank/jobproc/ownership.go
@@ -79,6 +79,9 @@
 // DirectoryChanged implements [cluster.Listener].
 func (o *ownership) DirectoryChanged(d cluster.Directory) { o.forward.SetDirectory(d) }
 
+// PeersChanged implements [cluster.Listener].
+func (o *ownership) PeersChanged(addresses []string) { o.storeRelay.SetPeers(addresses) }
+
 func (p *Process) setWorkers(pools map[string][]worker.Info) {
 	p.pools = pools
 	for name, s := range p.shards {
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -19,6 +19,8 @@
 	"peridotcrank.dev/jobs/maintenance"
 	"peridotcrank.dev/jobs/relay"
 	"peridotcrank.dev/jobs/rows"
+	"peridotcrank.dev/jobs/rows/failover"
+	"peridotcrank.dev/jobs/rows/rowsrelay"
 	"peridotcrank.dev/jobs/shard"
 	"peridotcrank.dev/jobs/worker"
 	"peridotcrank.dev/membership/monotime"
@@ -28,18 +30,20 @@
 
 // Process runs jobs.
 type Process struct {
-	settings atomic.Pointer[settings.Settings]
-	clock    monotime.Clock
-	log      *eventlog.Log
-	output   *eventlog.AsyncWriter
-	metrics  *metrics.Metrics
-	loop     *loop.Loop
-	store    rows.Store
-	workers  worker.Client
-	adviser  worker.Adviser // Nil where the platform has none.
-	cluster  *cluster.Manager
-	forward  *ingress.Forwarder
-	client   *relay.Client
+	settings   atomic.Pointer[settings.Settings]
+	clock      monotime.Clock
+	log        *eventlog.Log
+	output     *eventlog.AsyncWriter
+	metrics    *metrics.Metrics
+	loop       *loop.Loop
+	store      rows.Store // By ownStore, or through another process.
+	ownStore   rows.Store
+	storeRelay *rowsrelay.Store
+	workers    worker.Client
+	adviser    worker.Adviser // Nil where the platform has none.
+	cluster    *cluster.Manager
+	forward    *ingress.Forwarder
+	client     *relay.Client
 
 	// The fields below belong to the control loop.
 	shards    map[string]*shard.Shard
@@ -81,10 +85,15 @@
 	}
 	p := &Process{
 		clock: clock, log: log, output: output, metrics: measured, loop: loop.New(),
-		store:   measuredStore{platform.NewStore(s.Platform.Store.String()), measured},
-		workers: measuredWorkers{platform.NewWorkers(), measured}, client: relay.NewClient(),
+		ownStore: measuredStore{platform.NewStore(s.Platform.Store.String()), measured},
+		workers:  measuredWorkers{platform.NewWorkers(), measured}, client: relay.NewClient(),
 		shards: map[string]*shard.Shard{}, queues: shard.Queues{}, renewing: true, histories: map[string][]string{},
 	}
+	p.storeRelay = rowsrelay.New(p.client)
+	p.store, err = failover.New(failover.Options{Own: p.ownStore, Relay: p.storeRelay, Changed: p.storeWayChanged})
+	if err != nil {
+		return nil, err
+	}
 	if s.Platform.Advice != "" {
 		p.adviser = platform.NewAdviser(s.Platform.Advice)
 	}
--- a/peridotcrank/jobproc/registry_test.go
+++ b/peridotcrank/jobproc/registry_test.go
@@ -16,6 +16,7 @@
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/loop"
 	"peridotcrank.dev/jobs/rows"
+	"peridotcrank.dev/jobs/rows/rowsrelay"
 	"peridotcrank.dev/jobs/rows/rowstest"
 	"peridotcrank.dev/jobs/shard"
 	"peridotcrank.dev/jobs/worker/workertest"
@@ -61,7 +62,7 @@
 	log, err := eventlog.New(eventlog.Options{Process: "p", Writer: &lines{}})
 	assert.NilError(t, err)
 	p := &Process{
-		log: log, loop: loop.New(), store: store, work: ctx, shards: map[string]*shard.Shard{}, queues: shard.Queues{}, renewing: true,
+		log: log, loop: loop.New(), store: store, storeRelay: rowsrelay.New(nil), work: ctx, shards: map[string]*shard.Shard{}, queues: shard.Queues{}, renewing: true,
 		workers: workertest.New(func(job.TaskRef, int) workertest.Plan { return workertest.Plan{} }),
 	}
 	s := settings.Settings{Member: "p"}
