Contain unexpected errors: one message, row or shard no longer ends a process

Users' point: one malformed message or unexpected error took a whole process down. Where it could happen here: the control loop, the handler of peers' calls and the watchers' callbacks had no recover; one row of a shard that could not be decoded kept its whole pool from loading, for good; a peer's message took up to 4 MiB on the length alone. Now a shard is handled in a scope of the loop: after a panic it is given up and taken anew 2 s later (shard-failed); a call or a table's change is left out (call-failed); an unreadable row is recorded and left out, and nothing is said of its job (job-row-unreadable, 504); memory is taken as bytes arrive. Tests, each seen to fail without the change or written with it: TestUnreadableRowsAreLeftOut, TestPanicOfOneCallLeavesTheOthers, TestStatedLengthTakesNoMemory, TestScopeContainsPanics and TestFailedShardIsGivenUp came with the code and were not seen failing.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -66,6 +66,9 @@
 	ShardLoadFailed    Code = 4512
 	ShardLost          Code = 4513
 	ShardReleased      Code = 4514
+	ShardFailed        Code = 4515
+	CallFailed         Code = 4516
+	JobRowUnreadable   Code = 4517
 	StartRefused       Code = 4520
 	StartUnanswered    Code = 4521
 	TaskFailed         Code = 4522
@@ -229,6 +232,9 @@
 	{ShardLoadFailed, "shard-load-failed", LevelWarning, "The rows of a shard could not be read; it is tried again."},
 	{ShardLost, "shard-lost", LevelWarning, "Another owner of a shard was noticed; this process stops acting for it."},
 	{ShardReleased, "shard-released", LevelInfo, "This process no longer owns a shard."},
+	{ShardFailed, "shard-failed", LevelAlarm, "An unexpected error in the handling of a shard; this process gives the shard up and it is taken anew."},
+	{CallFailed, "call-failed", LevelAlarm, "An unexpected error in the handling of one message; the others are handled."},
+	{JobRowUnreadable, "job-row-unreadable", LevelAlarm, "A row of a shard cannot be decoded; it is left as it is, and the other rows are used."},
 	{StartRefused, "start-refused", LevelInfo, "A worker refused to start a task and did nothing."},
 	{StartUnanswered, "start-unanswered", LevelWarning, "A worker did not answer a start; the run is stopped before the task starts again."},
 	{TaskFailed, "task-failed", LevelInfo, "A run of a task failed."},
--- a/jobs/loop/loop_test.go
+++ b/jobs/loop/loop_test.go
@@ -28,3 +28,23 @@
 		l.Post(func() { t.Error("the loop has ended") })
 	})
 }
+
+// Guards against an unexpected error in one component that ends the loop of all.
+func TestScopeContainsPanics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		l := New()
+		go l.Run(ctx)
+		var reasons []any
+		scope := l.Scope(func(reason any, stack []byte) {
+			assert.Assert(t, len(stack) > 0)
+			reasons = append(reasons, reason)
+		})
+		scope.Post(func() { panic("posted") })
+		scope.After(time.Second, func() { panic("delayed") })
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, l.Call(ctx, func() { scope.Do(func() { panic("direct") }) }))
+		assert.DeepEqual(t, reasons, []any{"posted", "delayed", "direct"})
+	})
+}
--- a/jobs/maintenance/manager.go
+++ b/jobs/maintenance/manager.go
@@ -16,7 +16,7 @@
 // Options configure a [Manager].
 type Options struct {
 	Fence    uint64            // Fence of the ownership. Required.
-	Loop     *loop.Loop        // Required.
+	Loop     loop.Runner       // Required.
 	Clock    loop.Clock        // Required.
 	Wall     func() time.Time  // Time of day, for deadlines that outlive the process. Required.
 	Orders   Orders            // Required.
--- a/jobs/relay/frame.go
+++ b/jobs/relay/frame.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -33,11 +34,12 @@
 	if n > maxMessageBytes {
 		return fmt.Errorf("message of %d bytes: want at most %d", n, maxMessageBytes)
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	// Memory is taken as bytes arrive, not for the length that a peer states.
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(n)); err != nil {
 		return err
 	}
-	if err := proto.Unmarshal(body, into); err != nil {
+	if err := proto.Unmarshal(body.Bytes(), into); err != nil {
 		return fmt.Errorf("decode message: %w", err)
 	}
 	return nil
--- a/jobs/relay/relay_test.go
+++ b/jobs/relay/relay_test.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -17,7 +20,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := Serve(listener, handler)
+	server := Serve(listener, handler, func(any) {})
 	t.Cleanup(func() { server.Close() })
 	return listener.Addr().String()
 }
@@ -76,3 +79,36 @@
 	_, err = call(t, NewClient(), address, "x", generous)
 	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
 }
+
+// Guards against one message whose handling panics that takes the process down.
+func TestPanicOfOneCallLeavesTheOthers(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	failures := make(chan any, 1)
+	server := Serve(listener, func(_ context.Context, r *jobpb.Request) *jobpb.Reply {
+		if r.Id == "poison" {
+			panic("unexpected")
+		}
+		return &jobpb.Reply{Code: jobpb.Code_CODE_OK}
+	}, func(reason any) { failures <- reason })
+	defer server.Close()
+	c, address := NewClient(), listener.Addr().String()
+	_, err = call(t, c, address, "poison", generous)
+	assert.Assert(t, err != nil && !errors.Is(err, ErrNotSent))
+	assert.Equal(t, <-failures, "unexpected")
+	_, err = call(t, c, address, "sound", generous)
+	assert.NilError(t, err)
+}
+
+// Guards against a peer that makes this process take memory by stating a length.
+func TestStatedLengthTakesNoMemory(t *testing.T) {
+	var length [lengthBytes]byte
+	binary.BigEndian.PutUint32(length[:], maxMessageBytes)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range 10 {
+		assert.Assert(t, readMessage(bytes.NewReader(length[:]), &jobpb.Reply{}) != nil)
+	}
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < maxMessageBytes, "%d bytes for messages without body", after.TotalAlloc-before.TotalAlloc)
+}
--- a/jobs/relay/server.go
+++ b/jobs/relay/server.go
@@ -36,15 +36,17 @@
 // Server answers calls of peers.
 type Server struct {
 	handler  Handler
+	failed   func(reason any)
 	listener net.Listener
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
 	closed   bool
 }
 
-// Serve starts to answer calls on a listener.
-func Serve(listener net.Listener, handler Handler) *Server {
-	s := &Server{handler: handler, listener: listener, sessions: map[*yamux.Session]struct{}{}}
+// Serve starts to answer calls on a listener. A call whose handler panics gets no
+// answer, and failed hears of it.
+func Serve(listener net.Listener, handler Handler, failed func(reason any)) *Server {
+	s := &Server{handler: handler, failed: failed, listener: listener, sessions: map[*yamux.Session]struct{}{}}
 	go s.accept()
 	return s
 }
@@ -107,6 +109,11 @@
 
 func (s *Server) answer(stream *yamux.Stream) {
 	defer stream.Close()
+	defer func() {
+		if reason := recover(); reason != nil {
+			s.failed(reason)
+		}
+	}()
 	stream.SetReadDeadline(time.Now().Add(defaultTimeout))
 	request := &jobpb.Request{}
 	if readMessage(stream, request) != nil {
--- a/jobs/shard/calls.go
+++ b/jobs/shard/calls.go
@@ -37,6 +37,10 @@
 // Submit stores a job; answer is called once it is stored. A job that is
 // already known is not stored a second time.
 func (s *Shard) Submit(j *job.Job, answer func(Answer)) {
+	if _, ok := s.unreadable[j.ID]; ok {
+		answer(Answer{Code: Unknown})
+		return
+	}
 	if _, ok := s.ended[j.ID]; ok {
 		answer(Answer{Code: OK})
 		return
@@ -90,6 +94,9 @@
 
 // Lookup returns the state of a job as far as it is committed.
 func (s *Shard) Lookup(queue job.Queue, id job.ID) Answer {
+	if _, ok := s.unreadable[id]; ok {
+		return Answer{Code: Unknown}
+	}
 	if e, ok := s.ended[id]; ok && e.queue == queue {
 		return Answer{Code: OK, State: e.state}
 	}
@@ -109,6 +116,10 @@
 
 // Cancel ends a job; answer is called once that is committed.
 func (s *Shard) Cancel(queue job.Queue, id job.ID, answer func(Answer)) {
+	if _, ok := s.unreadable[id]; ok {
+		answer(Answer{Code: Unknown})
+		return
+	}
 	if e, ok := s.ended[id]; ok && e.queue == queue {
 		answer(Answer{Code: OK})
 		return
--- a/jobs/shard/load.go
+++ b/jobs/shard/load.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/jobpb"
 	"peridotcrank.dev/jobs/rows"
@@ -24,29 +25,43 @@
 	jobs     []*job.Job
 	progress map[job.ID]*jobpb.Progress
 	workers  map[worker.ID]*jobpb.KnownWorker
+	// unreadable are jobs with a row that cannot be decoded.
+	unreadable map[job.ID]struct{}
 }
 
 func (s *Shard) load(ctx context.Context) (*snapshot, error) {
-	loaded := &snapshot{progress: map[job.ID]*jobpb.Progress{}, workers: map[worker.ID]*jobpb.KnownWorker{}}
+	loaded := &snapshot{
+		progress: map[job.ID]*jobpb.Progress{}, workers: map[worker.ID]*jobpb.KnownWorker{}, unreadable: map[job.ID]struct{}{},
+	}
 	err := s.readRows(ctx, tableJob, func(row rows.Row) error {
 		j, err := job.Unmarshal(row.Value)
 		if err == nil {
-			loaded.jobs = append(loaded.jobs, j)
+			err = j.Validate()
+		}
+		if err != nil {
+			loaded.unreadable[job.ID(row.Name)] = struct{}{}
+			return err
 		}
-		return err
+		loaded.jobs = append(loaded.jobs, j)
+		return nil
 	})
 	if err != nil {
 		return nil, err
 	}
 	err = s.readRows(ctx, tableProgress, func(row rows.Row) error {
 		record := &jobpb.Progress{}
+		if err := proto.Unmarshal(row.Value, record); err != nil {
+			loaded.unreadable[job.ID(row.Name)] = struct{}{}
+			return err
+		}
 		loaded.progress[job.ID(row.Name)] = record
-		return proto.Unmarshal(row.Value, record)
+		return nil
 	})
 	if err != nil {
 		return nil, err
 	}
 	err = s.readRows(ctx, tableWorker, func(row rows.Row) error {
+		// A worker without a readable address is waited for until its lease has passed.
 		record := &jobpb.KnownWorker{}
 		loaded.workers[worker.ID(row.Name)] = record
 		return proto.Unmarshal(row.Value, record)
@@ -54,6 +69,8 @@
 	return loaded, err
 }
 
+// readRows reads a table. A row that read cannot use is recorded and stays in the
+// store; the others are read.
 func (s *Shard) readRows(ctx context.Context, table string, read func(rows.Row) error) error {
 	page, err := rows.ReadAll(ctx, s.o.Store, table, s.o.Pool)
 	if err != nil {
@@ -61,7 +78,7 @@
 	}
 	for _, row := range page.Rows {
 		if err := read(row); err != nil {
-			return fmt.Errorf("decode row %s of table %s: %w", row.Name, table, err)
+			s.record(eventlog.JobRowUnreadable, eventlog.Fields{"table": table, "row": row.Name, "version": row.Version, "error": err})
 		}
 	}
 	return nil
@@ -69,7 +86,11 @@
 
 // adopt takes over the state of the former owner.
 func (s *Shard) adopt(loaded *snapshot) {
+	s.unreadable = loaded.unreadable
 	for _, j := range loaded.jobs {
+		if _, ok := s.unreadable[j.ID]; ok {
+			continue // Its tasks may have ended.
+		}
 		js := newJobState(j)
 		js.stored, js.inherited = true, true
 		js.submitted = s.o.Clock() - max(s.o.Wall().Sub(j.Accepted), 0)
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -29,7 +29,7 @@
 	Store    rows.Store        // Required.
 	Workers  worker.Client     // Required.
 	Adviser  worker.Adviser    // For queues with advice; nil for none.
-	Loop     *loop.Loop        // Required.
+	Loop     loop.Runner       // Required.
 	Recorder eventlog.Recorder // Required.
 	// HasRight reports whether this process may act for the shard now. Required.
 	HasRight func() bool
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -26,7 +26,9 @@
 	arrivals uint64
 	jobs     map[job.ID]*jobState
 	ended    map[job.ID]ended
-	workers  map[worker.ID]*workerState
+	// unreadable are jobs with a row that cannot be decoded; nothing is said of them.
+	unreadable map[job.ID]struct{}
+	workers    map[worker.ID]*workerState
 	// steps are the steps whose tasks may be started, in no order.
 	steps map[*stepState]struct{}
 	// timed are steps that wait for their due time.
--- a/jobs/shard/takeover_test.go
+++ b/jobs/shard/takeover_test.go
@@ -157,3 +157,29 @@
 		})
 	})
 }
+
+// Guards against one row that cannot be decoded which keeps the jobs of a whole
+// pool from being served, and against a wrong word about the job of that row.
+func TestUnreadableRowsAreLeftOut(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(2)
+		first := r.own()
+		time.Sleep(time.Second)
+		for n := range 3 {
+			assert.Equal(t, r.submit(first, simpleJob(n, 1)).Code, OK)
+		}
+		r.do(first.Stop)
+		garbage := []byte{0xff, 0xff}
+		r.store.Put(rows.Row{Key: first.key(tableJob, string(testID(0))), Value: garbage})
+		r.store.Put(rows.Row{Key: first.key(tableProgress, string(testID(1))), Value: garbage})
+		r.store.Put(rows.Row{Key: first.key(tableWorker, "w9"), Value: garbage})
+		second := r.own()
+		r.await(second, 2, job.Completed, 20*time.Second)
+		for n := range 2 {
+			assert.Equal(t, r.state(second, n).Code, Unknown)
+			assert.Equal(t, r.cancel(second, n).Code, Unknown)
+			assert.Equal(t, r.submit(second, simpleJob(n, 1)).Code, Unknown)
+			assert.Assert(t, r.fleet.Starts(job.TaskRef{Job: testID(n)}) <= 1)
+		}
+	})
+}
--- a/peridotcrank/jobproc/calls.go
+++ b/peridotcrank/jobproc/calls.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"runtime/debug"
 
+	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/jobpb"
 	"peridotcrank.dev/jobs/rows/rowsrelay"
@@ -31,6 +33,11 @@
 	return &jobpb.Reply{Code: jobpb.Code_CODE_UNKNOWN}
 }
 
+// callFailed records an unexpected error in the handling of a peer's call.
+func (p *Process) callFailed(reason any) {
+	p.log.Record(eventlog.CallFailed, eventlog.Fields{"error": reason, "stack": string(debug.Stack())})
+}
+
 // answerLocal answers a call to a shard that this process may own. It returns
 // nil when ctx ended before the outcome was known.
 func (p *Process) answerLocal(ctx context.Context, request *jobpb.Request) *jobpb.Reply {
@@ -50,6 +57,11 @@
 		answers <- &jobpb.Reply{Code: jobpb.Code_CODE_NOT_OWNER}
 		return
 	}
+	p.scopes[request.Shard].Do(func() { p.serve(s, request, answers) })
+}
+
+// serve makes a call to a shard. Without an answer its outcome is unknown.
+func (p *Process) serve(s *shard.Shard, request *jobpb.Request, answers chan<- *jobpb.Reply) {
 	answer := func(a shard.Answer) { answers <- reply(a) }
 	queue, id := job.Queue(request.Queue), job.ID(request.Id)
 	switch request.Call {
--- a/peridotcrank/jobproc/config.go
+++ b/peridotcrank/jobproc/config.go
@@ -44,7 +44,7 @@
 	for _, fault := range faults {
 		p.log.Record(eventlog.EntryUnreadable, eventlog.Fields{"error": fault})
 	}
-	p.loop.Post(func() {
+	p.loop.Scope(func(reason any, _ []byte) { p.callFailed(reason) }).Post(func() {
 		if found {
 			p.applyConfig(c)
 		}
@@ -53,6 +53,19 @@
 	})
 }
 
+// tolerant returns a function that takes the rows of a table, and records an
+// unexpected error in it.
+func (p *Process) tolerant(changed func(map[string]rows.Row)) func(map[string]rows.Row) {
+	return func(table map[string]rows.Row) {
+		defer func() {
+			if reason := recover(); reason != nil {
+				p.callFailed(reason)
+			}
+		}()
+		changed(table)
+	}
+}
+
 // applyConfig puts a configuration in force. An older one than that in force
 // is left alone, since readings may overtake each other.
 func (p *Process) applyConfig(c platform.Config) {
@@ -78,8 +91,8 @@
 	if p.live().Platform.Machines != "" {
 		p.cluster.SetShards([]string{fleetShard})
 	}
-	for _, s := range p.shards {
-		s.SetQueues(p.queues)
+	for name, s := range p.shards {
+		p.scopes[name].Do(func() { s.SetQueues(p.queues) })
 	}
 	p.ready.Store(true)
 	p.log.Record(eventlog.JobsConfigReceived, eventlog.Fields{"version": c.Version, "routes": len(c.Routes), "pools": len(p.poolNames)})
--- a/peridotcrank/jobproc/fleet.go
+++ b/peridotcrank/jobproc/fleet.go
@@ -20,8 +20,9 @@
 const fleetShard = "fleet/machines"
 
 func (p *Process) startFleet(fence uint64) {
+	scope := p.newScope(fleetShard, fence)
 	m, err := maintenance.New(maintenance.Options{
-		Fence: fence, Loop: p.loop, Clock: p.clock.Now, Wall: time.Now,
+		Fence: fence, Loop: scope, Clock: p.clock.Now, Wall: time.Now,
 		Orders: platform.NewMachines(p.live().Platform.Machines, string(p.live().Member)),
 		Owners: owners{p}, Store: p.store, Recorder: p.log, HasRight: p.hasRight(fleetShard, fence),
 		OwnerKey: cluster.OwnerKey(fleetShard), StatusRow: platform.WaveStatus,
@@ -33,7 +34,7 @@
 	}
 	p.fleet = m
 	p.updateFleet()
-	m.Start()
+	scope.Do(m.Start)
 }
 
 // updateFleet hands the configuration to the manager of VMs.
@@ -41,8 +42,10 @@
 	if p.fleet == nil {
 		return
 	}
-	p.fleet.SetPools(p.poolNames, p.spare)
-	p.fleet.SetWaves(p.waves)
+	p.scopes[fleetShard].Do(func() {
+		p.fleet.SetPools(p.poolNames, p.spare)
+		p.fleet.SetWaves(p.waves)
+	})
 }
 
 func (p *Process) hasRight(name string, fence uint64) func() bool {
--- a/peridotcrank/jobproc/ownership.go
+++ b/peridotcrank/jobproc/ownership.go
@@ -6,6 +6,7 @@
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/cluster"
+	"peridotcrank.dev/jobs/loop"
 	"peridotcrank.dev/jobs/shard"
 	"peridotcrank.dev/jobs/worker"
 )
@@ -28,12 +29,13 @@
 		p.startFleet(fence)
 		return
 	}
+	scope := p.newScope(name, fence)
 	s, err := shard.New(shard.Options{
 		Pool: name, Owner: fmt.Sprintf("%s/%d", p.live().Member, fence), Fence: fence,
 		HoldFor:   min(holdFor, p.live().Leases.MaxHold),
 		KeepEnded: p.live().Timing.KeepEnded + keepSlack,
 		StopTime:  p.live().Timing.Stop,
-		Store:     p.store, Workers: p.workers, Adviser: p.adviser, Loop: p.loop, Recorder: p.log,
+		Store:     p.store, Workers: p.workers, Adviser: p.adviser, Loop: scope, Recorder: p.log,
 		HasRight: p.hasRight(name, fence),
 		Lost:     func() { p.cluster.Renounce(name, fence) },
 		Clock:    p.clock.Now,
@@ -42,26 +44,54 @@
 		p.log.Record(eventlog.ShardLoadFailed, eventlog.Fields{"shard": name, "error": err})
 		return
 	}
-	s.SetQueues(p.queues)
-	if p.pools != nil {
-		s.SetWorkers(p.pools[name])
-	}
 	p.shards[name] = s
 	p.watchRegistry()
-	s.Start()
+	scope.Do(func() {
+		s.SetQueues(p.queues)
+		if p.pools != nil {
+			s.SetWorkers(p.pools[name])
+		}
+		s.Start()
+	})
 }
 
-// Released implements [cluster.Listener].
-func (o *ownership) Released(name string) {
-	p := (*Process)(o)
+// failurePause is the time from an unexpected error in a shard until the shard may
+// be taken anew, by this process or another one.
+const failurePause = 2 * time.Second
+
+// newScope returns the scope in which a shard that this process owns is handled.
+// After an unexpected error the shard is given up, since its state may be
+// inconsistent; a new owner reads it from the rows.
+func (p *Process) newScope(name string, fence uint64) *loop.Scope {
+	scope := p.loop.Scope(func(reason any, stack []byte) {
+		p.log.Record(eventlog.ShardFailed, eventlog.Fields{"shard": name, "fence": fence, "error": reason, "stack": string(stack)})
+		if current, ok := p.cluster.Fence(name); !ok || current != fence {
+			return
+		}
+		p.abandon(name)
+		p.loop.After(failurePause, func() { p.cluster.Renounce(name, fence) })
+	})
+	p.scopes[name] = scope
+	return scope
+}
+
+// abandon ends the handling of a shard, without its cooperation where that fails.
+func (p *Process) abandon(name string) {
+	delete(p.scopes, name)
 	if s := p.shards[name]; s != nil {
 		delete(p.shards, name)
-		s.Stop()
+		p.loop.Scope(func(any, []byte) {}).Do(s.Stop)
 		p.watchRegistry()
 	}
 	if name == fleetShard {
 		p.stopFleet()
 	}
+}
+
+// Released implements [cluster.Listener].
+func (o *ownership) Released(name string) {
+	p := (*Process)(o)
+	p.abandon(name)
 	p.log.Record(eventlog.ShardReleased, eventlog.Fields{"shard": name})
 }
 
@@ -85,7 +115,7 @@
 func (p *Process) setWorkers(pools map[string][]worker.Info) {
 	p.pools = pools
 	for name, s := range p.shards {
-		s.SetWorkers(pools[name])
+		p.scopes[name].Do(func() { s.SetWorkers(pools[name]) })
 	}
 }
 
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -47,7 +47,8 @@
 
 	// The fields below belong to the control loop.
 	shards    map[string]*shard.Shard
-	fleet     *maintenance.Manager // While this process owns the fleet's shard.
+	scopes    map[string]*loop.Scope // Of the shards that this process owns, and of the fleet.
+	fleet     *maintenance.Manager   // While this process owns the fleet's shard.
 	poolNames []string
 	spare     string
 	waves     []maintenance.Wave
@@ -87,7 +88,7 @@
 		clock: clock, log: log, output: output, metrics: measured, loop: loop.New(),
 		ownStore: measuredStore{platform.NewStore(s.Platform.Store.String()), measured},
 		workers:  measuredWorkers{platform.NewWorkers(), measured}, client: relay.NewClient(),
-		shards: map[string]*shard.Shard{}, queues: shard.Queues{}, renewing: true, histories: map[string][]string{},
+		shards: map[string]*shard.Shard{}, scopes: map[string]*loop.Scope{}, queues: shard.Queues{}, renewing: true, histories: map[string][]string{},
 	}
 	p.storeRelay = rowsrelay.New(p.client)
 	p.store, err = failover.New(failover.Options{Own: p.ownStore, Relay: p.storeRelay, Changed: p.storeWayChanged})
@@ -137,7 +138,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	server := relay.Serve(peers, p.answerPeer)
+	server := relay.Serve(peers, p.answerPeer, p.callFailed)
 	defer server.Close()
 	callers := &http.Server{
 		Handler:           p.callersHandler(),
@@ -186,7 +187,7 @@
 }
 
 func (p *Process) watch(ctx context.Context) {
-	config := rows.Watcher{Store: p.store, Table: platform.OperatorTable, Changed: p.operatorChanged, State: p.feedState(platform.OperatorTable)}
+	config := rows.Watcher{Store: p.store, Table: platform.OperatorTable, Changed: p.tolerant(p.operatorChanged), State: p.feedState(platform.OperatorTable)}
 	go config.Run(ctx)
 }
 
--- a/peridotcrank/jobproc/registry_test.go
+++ b/peridotcrank/jobproc/registry_test.go
@@ -57,12 +57,14 @@
 	return s.Store.Feed(ctx, table, after, wait)
 }
 
-// newOwnerProcess returns a process on simulated time whose ownership the test controls.
-func newOwnerProcess(t *testing.T, ctx context.Context, store rows.Store) *Process {
-	log, err := eventlog.New(eventlog.Options{Process: "p", Writer: &lines{}})
+// newOwnerProcess returns a process on simulated time whose ownership the test
+// controls, and its log.
+func newOwnerProcess(t *testing.T, ctx context.Context, store rows.Store) (*Process, *lines) {
+	out := &lines{}
+	log, err := eventlog.New(eventlog.Options{Process: "p", Writer: out})
 	assert.NilError(t, err)
 	p := &Process{
-		log: log, loop: loop.New(), store: store, storeRelay: rowsrelay.New(nil), work: ctx, shards: map[string]*shard.Shard{}, queues: shard.Queues{}, renewing: true,
+		log: log, loop: loop.New(), store: store, storeRelay: rowsrelay.New(nil), work: ctx, shards: map[string]*shard.Shard{}, scopes: map[string]*loop.Scope{}, queues: shard.Queues{}, renewing: true,
 		workers: workertest.New(func(job.TaskRef, int) workertest.Plan { return workertest.Plan{} }),
 	}
 	s := settings.Settings{Member: "p"}
@@ -74,7 +76,7 @@
 	assert.NilError(t, err)
 	p.forward = ingress.NewForwarder(ingress.Options{})
 	go p.loop.Run(ctx)
-	return p
+	return p, out
 }
 
 // Guards against processes that read every worker's heartbeat although they own
@@ -84,7 +86,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		store := &countedStore{Store: &rowstest.Store{Latency: time.Millisecond}}
-		p := newOwnerProcess(t, ctx, store)
+		p, _ := newOwnerProcess(t, ctx, store)
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, store.take(), 0)
 		for i := range 2 {
@@ -104,3 +106,25 @@
 		assert.Equal(t, store.take(), 0)
 	})
 }
+
+// Guards against an unexpected error in the handling of one shard, of a peer's call
+// or of a table that takes the process with all its shards down.
+func TestFailedShardIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		p, out := newOwnerProcess(t, ctx, &rowstest.Store{Latency: time.Millisecond})
+		for i := range 2 {
+			p.loop.Call(ctx, func() { (*ownership)(p).Acquired(fmt.Sprint("pool-", i), uint64(i+1)) })
+		}
+		p.loop.Call(ctx, func() { p.scopes["pool-0"].Do(func() { panic("unexpected") }) })
+		p.tolerant(func(map[string]rows.Row) { panic("unexpected") })(nil)
+		p.loop.Call(ctx, func() {
+			// The cluster does not own the shard here, so that only the failure is recorded.
+			assert.Equal(t, out.count("shard-failed"), 1)
+			assert.Equal(t, out.count("call-failed"), 1)
+			p.abandon("pool-0")
+			assert.Assert(t, p.shards["pool-0"] == nil && p.shards["pool-1"] != nil)
+		})
+	})
+}
