Read the parts of the process rows at the same time when a process starts

Cause: a new process read 17 parts one after the other within 0.7 s. Now 6 parts are read at a time, within 2.1 s. Test: TestFirstReadingOfSlowStore fails before (nobody ever owned a shard while a call takes 60 ms).

--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -239,9 +239,12 @@
 }
 
 func (m *Manager) read() {
-	after := m.view.version
+	after, limit := m.view.version, m.o.CallTimeout
+	if after == 0 {
+		limit *= firstReadFactor // All rows are read.
+	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), m.o.CallTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
 		read, err := readChanges(ctx, m.o.Store, after)
 		m.o.Loop.Post(func() {
--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -296,6 +296,23 @@
 	}
 }
 
+// Guards against processes that never finish their first reading, one part after the
+// other, while the store is slow: nobody would own anything.
+func TestFirstReadingOfSlowStore(t *testing.T) {
+	withGroup(t, 0, func(g *group) {
+		g.store.Latency = 60 * time.Millisecond
+		for range 3 {
+			g.add()
+		}
+		g.watch(3 * time.Second)
+		g.do(func() {
+			for _, shard := range g.shards {
+				assert.Equal(t, len(g.actors(shard)), 1, "shard %s has no owner", shard)
+			}
+		})
+	})
+}
+
 // Guards against shards that stay without owner for seconds since they were
 // assigned to processes that failed together with their owner.
 func TestManyFailTogether(t *testing.T) {
--- a/jobs/cluster/options.go
+++ b/jobs/cluster/options.go
@@ -53,6 +53,8 @@
 	defaultInterval    = 800 * time.Millisecond
 	defaultRightFor    = 3 * time.Second
 	defaultCallTimeout = 700 * time.Millisecond
+	// firstReadFactor times the time of one call is that of the first reading.
+	firstReadFactor = 3
 	// renewPause is the time from a renewal that failed to the next one. It
 	// doubles with each rejection by the store, maxPauseShift times at most.
 	renewPause    = 100 * time.Millisecond
--- a/jobs/cluster/view.go
+++ b/jobs/cluster/view.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 
+	"golang.org/x/sync/errgroup"
+
 	"peridotcrank.dev/jobs/rows"
 )
 
@@ -15,6 +17,8 @@
 	memberPrefix = "member/"
 	ownerPrefix  = "owner/"
 	memberParts  = 16
+	// readsAtOnce bounds the parts that are read at the same time.
+	readsAtOnce = 6
 )
 
 // OwnerKey returns the row whose version is the fence of a shard's owner.
@@ -41,13 +45,35 @@
 			return changes{page, after}, err
 		}
 	}
+	all, err := readAll(ctx, store)
+	return changes{all, 0}, err
+}
+
+// readAll reads the rows of owners, and then those of members, some parts at the
+// same time: one after the other they take longer than a new process should wait.
+func readAll(ctx context.Context, store rows.Store) (rows.Page, error) {
 	all, err := rows.ReadAll(ctx, store, table, "")
-	for n := 0; n < memberParts && err == nil; n++ {
-		var page rows.Page
-		page, err = rows.ReadAll(ctx, store, table, memberPart(n))
+	if err != nil {
+		return rows.Page{}, err
+	}
+	var (
+		group errgroup.Group
+		pages [memberParts]rows.Page
+	)
+	group.SetLimit(readsAtOnce)
+	for n := range memberParts {
+		group.Go(func() (err error) {
+			pages[n], err = rows.ReadAll(ctx, store, table, memberPart(n))
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return rows.Page{}, err
+	}
+	for _, page := range pages {
 		all.Rows = append(all.Rows, page.Rows...)
 	}
-	return changes{all, 0}, err
+	return all, nil
 }
 
 // changes are the rows that changed after a version.
