Count upkeeps that a former owner ordered; finish orders before a planned hand-over

Users' point: around a hand-over between two processes both acted. Now a new owner begins upkeeps after a list of VMs made 0.4 s after the takeover and counts VMs that are listed as away; a planned hand-over waits for the answers and for the record of what was done. Open: an order that gets no answer, of an owner that is killed, and that is carried out seconds later, is still not counted by the next owner.

--- a/jobs/maintenance/manager.go
+++ b/jobs/maintenance/manager.go
@@ -48,6 +48,9 @@
 	moveVacateLimit = 2500 * time.Millisecond
 	// fenceShift leaves room for the numbers of orders below the version of the ownership.
 	fenceShift = 20
+	// formerOrders is how long after a takeover orders that the former owner had under
+	// way may still begin.
+	formerOrders = 400 * time.Millisecond
 	// backoff is how long a VM is left alone after an order was refused.
 	backoff = time.Second
 )
@@ -75,6 +78,8 @@
 type Manager struct {
 	o       Options
 	stopped bool
+	closed  bool          // Nothing new begins.
+	began   time.Duration // When this process became the owner.
 
 	pools    []string
 	spare    string
@@ -105,7 +110,28 @@
 }
 
 // Start begins the work.
-func (m *Manager) Start() { m.tick() }
+func (m *Manager) Start() {
+	m.began = m.o.Clock()
+	m.tick()
+}
+
+// Close ends the planning; answers to orders under way are still taken and recorded.
+func (m *Manager) Close() { m.closed = true }
+
+// Idle reports whether no order is under way and all progress is recorded.
+func (m *Manager) Idle() bool {
+	for _, op := range m.operations {
+		if op.calling {
+			return false
+		}
+	}
+	for _, w := range m.waves {
+		if w.loaded && (w.saving || w.changed) {
+			return false
+		}
+	}
+	return true
+}
 
 // Stop ends the work; orders under way are settled by the next owner.
 func (m *Manager) Stop() { m.stopped = true }
@@ -137,13 +163,15 @@
 	if !m.listing && (now-m.listedAt > listInterval || m.wantsList(now)) {
 		m.list()
 	}
-	for _, pool := range m.pools {
-		if pool != m.spare {
-			m.ask(pool)
+	if !m.closed {
+		for _, pool := range m.pools {
+			if pool != m.spare {
+				m.ask(pool)
+			}
 		}
+		m.advance(now)
+		m.plan(now)
 	}
-	m.advance(now)
-	m.plan(now)
 	for _, w := range m.waves {
 		m.saveWave(w)
 	}
@@ -154,6 +182,9 @@
 	if now-m.listedAt < listGap {
 		return false
 	}
+	if !m.knowsFormerOrders() && now-m.began >= formerOrders {
+		return true
+	}
 	for pool, d := range m.demands {
 		if len(d.Unaccounted) > 0 && m.listSent < m.unaccountedAt[pool] {
 			return true
@@ -162,6 +193,9 @@
 	return false
 }
 
+// knowsFormerOrders reports whether the list shows what former owners ordered.
+func (m *Manager) knowsFormerOrders() bool { return m.listSent >= m.began+formerOrders }
+
 func (m *Manager) list() {
 	m.listing = true
 	sent := m.o.Clock()
@@ -327,7 +361,7 @@
 	switch {
 	case err == nil:
 		m.o.Recorder.Record(eventlog.MachineOrdered, fields)
-		m.began(op, now)
+		m.carriedOut(op, now)
 	case errors.Is(err, ErrLimited):
 		m.o.Loop.After(retryPause, func() { m.repeat(op) })
 	case errors.Is(err, ErrBusy), errors.Is(err, ErrFenced), errors.Is(err, ErrNotDue), errors.Is(err, ErrInvalid):
@@ -346,7 +380,7 @@
 }
 
 func (m *Manager) repeat(op *operation) {
-	if m.stopped || op.calling || m.operations[op.Machine] != op {
+	if m.stopped || m.closed || op.calling || m.operations[op.Machine] != op {
 		return
 	}
 	if !m.o.HasRight() {
@@ -356,8 +390,8 @@
 	m.order(op)
 }
 
-// began notes that a VM is away because of an order.
-func (m *Manager) began(op *operation, now time.Duration) {
+// carriedOut notes that a VM is away because of an order.
+func (m *Manager) carriedOut(op *operation, now time.Duration) {
 	op.phase = returning
 	away := m.o.MoveTime
 	if op.Kind == Upkeep {
@@ -365,6 +399,7 @@
 		if w := m.waves[op.Wave]; w != nil {
 			w.done[op.Machine] = true
 			w.changed = true
+			m.saveWave(w)
 		}
 	}
 	op.until = now + away + returnSlack
@@ -389,7 +424,7 @@
 		s.Pending[name] = op.Decision
 	}
 	for _, w := range m.waves {
-		if w.loaded && !w.completed {
+		if w.loaded && !w.completed && m.knowsFormerOrders() {
 			s.Waves = append(s.Waves, m.waveState(w, now))
 		}
 	}
@@ -419,6 +454,12 @@
 			state.Underway++
 		}
 	}
+	for _, name := range w.Machines {
+		// Ordered by a former owner, or away for longer than expected.
+		if v, ok := m.machine(name); ok && v.State == InUpkeep && m.operations[name] == nil {
+			state.Underway++
+		}
+	}
 	return state
 }
 
--- a/peridotcrank/jobproc/ownership.go
+++ b/peridotcrank/jobproc/ownership.go
@@ -134,7 +134,9 @@
 
 // handOver gives up all shards once what was submitted is stored.
 func (p *Process) handOver() {
-	p.stopFleet()
+	if p.fleet != nil {
+		p.fleet.Close()
+	}
 	for _, s := range p.shards {
 		s.Close()
 	}
@@ -142,7 +144,7 @@
 }
 
 func (p *Process) awaitCommits(limit time.Duration) {
-	idle := true
+	idle := p.fleet == nil || p.fleet.Idle()
 	for _, s := range p.shards {
 		idle = idle && s.Idle()
 	}
@@ -150,6 +152,7 @@
 		p.loop.After(handOverPoll, func() { p.awaitCommits(limit) })
 		return
 	}
+	p.stopFleet()
 	for _, s := range p.shards {
 		s.Stop()
 	}
