Rest workers on which runs of several jobs failed in a row, and retry elsewhere

Now a task avoids workers on which it failed, and a worker with failed runs of three jobs and none that ended as done between them rests for 1.5 s, then longer. Ruled out: two jobs as evidence, since 3 % of the jobs can never be done and fail anywhere. Test: TestFaultyWorkerGetsFewTasks fails before (jobs of four sound workers end as failed).

--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -111,6 +111,7 @@
 	}
 	switch {
 	case end.How == worker.Done && !t.step.spec.LongRunning:
+		w.failedJobs, w.faults = nil, 0
 		s.taskDone(t)
 	case end.How == worker.Failed:
 		s.taskFailed(w, t, end)
@@ -146,9 +147,11 @@
 func (s *Shard) taskFailed(w *workerState, t *task, end worker.End) {
 	step := t.step
 	s.record(eventlog.TaskFailed, eventlog.Fields{"task": end.Task.String(), "run": end.Run, "worker": w.info.ID})
+	s.noteFailure(w, step.job.job.ID)
 	if step.spec.LongRunning {
 		return
 	}
+	t.failedOn = append(t.failedOn, w.info.ID)
 	failed := 0
 	if step.spec.Gang {
 		step.addFailure(end.Run)
@@ -163,6 +166,21 @@
 	}
 }
 
+// noteFailure rests a worker on which runs of several jobs have failed in a row.
+// Otherwise it would draw ever more tasks, since those that fail leave room at once.
+func (s *Shard) noteFailure(w *workerState, id job.ID) {
+	if w.failedJobs == nil {
+		w.failedJobs = map[job.ID]struct{}{}
+	}
+	w.failedJobs[id] = struct{}{}
+	if now := s.o.Clock(); len(w.failedJobs) >= faultyJobs && now >= w.restUntil {
+		rest := faultyRest << min(w.faults, mostFaultShift)
+		w.faults++
+		w.restUntil = now + rest
+		s.record(eventlog.WorkerFaulty, eventlog.Fields{"worker": w.info.ID, "jobs": len(w.failedJobs), "rest": rest.String()})
+	}
+}
+
 // release permits the steps of a job whose turn has come.
 func (s *Shard) release(js *jobState) {
 	if !js.alive() {
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -112,6 +112,14 @@
 	maxUnanswered = 3
 	// restPeriod is how long a worker that refused orders or did not answer them gets no further ones.
 	restPeriod = time.Second
+	// faultyJobs is the number of jobs with failed runs, and none that ended as done
+	// between them, from which a worker counts as faulty: jobs that can never be done
+	// fail on sound workers, too, but rarely so many in a row.
+	faultyJobs = 3
+	// faultyRest is how long a faulty worker gets no tasks. It doubles, mostFaultShift
+	// times at most, until a run ends as done there.
+	faultyRest     = 1500 * time.Millisecond
+	mostFaultShift = 2
 	// runsPerOwner separates the run numbers of consecutive owners.
 	runsPerOwner = 1000
 )
--- a/jobs/shard/place.go
+++ b/jobs/shard/place.go
@@ -135,7 +135,7 @@
 		if t.done || len(t.attempts) > 0 || t.notBefore > p.now {
 			continue
 		}
-		i := scheduler.Choose(p.nodes, p.constraint(step))
+		i := p.choose(t)
 		if i == scheduler.None {
 			if step.spec.MaxPerWorker == 0 && step.spec.RequiredLabel == "" && !p.s.terms(step).Required() {
 				p.tooLarge = append(p.tooLarge, charge)
@@ -148,6 +148,22 @@
 	p.recordStarts(step)
 }
 
+// choose returns the node for a task: rather one on which no run of it has failed.
+func (p *pass) choose(t *task) int {
+	c := p.constraint(t.step)
+	if len(t.failedOn) == 0 {
+		return scheduler.Choose(p.nodes, c)
+	}
+	other := c
+	other.Permits = func(node int) bool {
+		return !slices.Contains(t.failedOn, p.workers[node].info.ID) && (c.Permits == nil || c.Permits(node))
+	}
+	if i := scheduler.Choose(p.nodes, other); i != scheduler.None {
+		return i
+	}
+	return scheduler.Choose(p.nodes, c)
+}
+
 // recordStarts records the tasks of a step that were started in this pass, and
 // what else waited.
 func (p *pass) recordStarts(step *stepState) {
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -433,3 +433,33 @@
 		assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testID(1)}), 1)
 	})
 }
+
+// Guards against a faulty worker that draws and fails one task after the other,
+// until the jobs have no attempts left; and against sound workers that rest because
+// of a job that can never be done.
+func TestFaultyWorkerGetsFewTasks(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(4)
+		failed := 0
+		r.fleet.SetPlace(func(id worker.ID, ref job.TaskRef) workertest.Plan {
+			if id == "w0" || ref.Job == testID(0) {
+				failed++
+				return workertest.Plan{Duration: 20 * time.Millisecond, Fails: true}
+			}
+			return workertest.Plan{Duration: 300 * time.Millisecond}
+		})
+		o := r.own()
+		time.Sleep(time.Second)
+		assert.Equal(t, r.submit(o, simpleJob(0, 4)).Code, OK)
+		r.await(o, 0, job.Failed, 10*time.Second)
+		failed = 0
+		for n := 1; n <= 40; n++ {
+			assert.Equal(t, r.submit(o, simpleJob(n, 4)).Code, OK)
+			time.Sleep(100 * time.Millisecond)
+		}
+		for n := 1; n <= 40; n++ {
+			r.await(o, n, job.Completed, 10*time.Second)
+		}
+		assert.Assert(t, failed <= 30, "%d runs failed on one worker", failed)
+	})
+}
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -108,6 +108,7 @@
 	failures map[int]bool
 	saved    string
 	attempts []*attempt
+	failedOn []worker.ID // Workers on which a run has failed.
 	// notBefore delays the next start, on the shard's clock.
 	notBefore time.Duration
 }
@@ -203,6 +204,9 @@
 	failures  int // Holds in a row without an answer.
 	restUntil time.Duration
 	silent    int // Starts in a row without an answer.
+	// failedJobs are the jobs of which a run has failed here since one ended as done.
+	failedJobs map[job.ID]struct{}
+	faults     int // How often the worker rested as faulty since then.
 	// listed is the worker's clock in the last lists that were applied.
 	listed worker.Clock
 
--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -50,6 +50,7 @@
 	tickets    func(worker.ID, worker.Start) bool
 	refused    int // Starts with a ticket that is not accepted.
 	behave     func(task job.TaskRef, run int) Plan
+	place      func(id worker.ID, task job.TaskRef) Plan
 	fault      func(id worker.ID, order string) Fault
 	began      time.Time
 	workers    map[worker.ID]*simulated
@@ -122,6 +123,13 @@
 	f.behave = behave
 }
 
+// SetPlace sets what runs do on each worker from now on, in place of the behaviour.
+func (f *Fleet) SetPlace(behave func(id worker.ID, task job.TaskRef) Plan) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.place = behave
+}
+
 // SetFault sets what chooses the fault of each order; nil for none.
 func (f *Fleet) SetFault(choose func(id worker.ID, order string) Fault) {
 	f.mu.Lock()
@@ -283,6 +291,9 @@
 	r := &run{task: order.Task, number: order.Run}
 	w.runs[order.Task] = r
 	plan := f.behave(order.Task, order.Run)
+	if f.place != nil {
+		plan = f.place(w.info.ID, order.Task)
+	}
 	how := worker.Done
 	if plan.Fails {
 		how = worker.Failed
