Start runs elsewhere that stand still on a worker that answers

A worker of which all short runs should have ended by the learned durations, two at least, and none did for 1.5 s, rests, and runs of over three times their prediction are stopped and started elsewhere, once a task. Ruled out: acting on declared estimates alone (tests with tasks of 10 to 20 s declared as 1 s restarted for ever). Test: TestStalledRunsStartElsewhere fails before.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -83,6 +83,7 @@
 	WorkerPaced        Code = 4534
 	WorkerJoined       Code = 4535
 	WorkerFaulty       Code = 4536
+	WorkerStalled      Code = 4537
 	RenewalFailed      Code = 4540
 	RenewalRestored    Code = 4541
 	StoreThroughPeer   Code = 4542
@@ -250,6 +251,7 @@
 	{WorkerPaced, "worker-paced", LevelInfo, "Tasks that fill a worker work at another share, because of the latency of serving tasks."},
 	{WorkerJoined, "worker-joined", LevelInfo, "A worker answered for the first time and gets tasks."},
 	{WorkerFaulty, "worker-faulty", LevelWarning, "Runs of several jobs failed in a row on a worker; it gets no tasks for a while."},
+	{WorkerStalled, "worker-stalled", LevelWarning, "The runs of a worker that answers stand still; it rests, and they start elsewhere."},
 	{RenewalFailed, "renewal-failed", LevelWarning, "The renewal of this process's row failed; its right to act passes soon."},
 	{RenewalRestored, "renewal-restored", LevelInfo, "The renewal of this process's row succeeds again."},
 	{StoreThroughPeer, "store-through-peer", LevelWarning, "The table service does not serve this process; calls go through another one."},
--- a/jobs/scheduler/duration.go
+++ b/jobs/scheduler/duration.go
@@ -44,12 +44,15 @@
 	d.sumXY = d.sumXY*decay + x*y
 }
 
+// Learned reports whether predictions rest on tasks that ran, and not on estimates alone.
+func (d *Durations) Learned() bool { return d.weight >= minSamples }
+
 // Predict returns how long a task with an estimate is likely to run.
 func (d *Durations) Predict(estimate time.Duration) time.Duration {
 	if estimate <= 0 {
 		estimate = fallback
 	}
-	if d.weight < minSamples {
+	if !d.Learned() {
 		return estimate
 	}
 	meanX, meanY := d.sumX/d.weight, d.sumY/d.weight
--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -90,6 +90,7 @@
 }
 
 func (s *Shard) applyEnd(w *workerState, end worker.End) {
+	w.endedAt = s.o.Clock()
 	if a := w.attempts[runKey{end.Task, end.Run}]; a != nil {
 		if end.How == worker.Done && a.began > 0 {
 			s.observe(a)
--- a/jobs/shard/shard_test.go
+++ b/jobs/shard/shard_test.go
@@ -463,3 +463,41 @@
 		assert.Assert(t, failed <= 30, "%d runs failed on one worker", failed)
 	})
 }
+
+// Guards against jobs that wait for seconds for a worker that answers while its runs
+// stand still, and against runs that are stopped again and again since one task of a
+// step takes long.
+func TestStalledRunsStartElsewhere(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(3)
+		stalled := false
+		r.fleet.SetPlace(func(id worker.ID, ref job.TaskRef) workertest.Plan {
+			switch {
+			case id == "w0" && stalled:
+				return workertest.Plan{Duration: time.Hour}
+			case ref.Job == testID(21) && ref.Index == 0:
+				return workertest.Plan{Duration: 5 * time.Second}
+			}
+			return workertest.Plan{Duration: 500 * time.Millisecond}
+		})
+		o := r.own()
+		time.Sleep(time.Second)
+		submit := func(first, n int) {
+			for i := range n {
+				assert.Equal(t, r.submit(o, simpleJob(first+i, 3)).Code, OK)
+			}
+		}
+		submit(0, 8)
+		time.Sleep(3 * time.Second)
+		r.fleet.Locked(func() { stalled = true })
+		submit(20, 4)
+		starts := 0
+		for n := 20; n < 24; n++ {
+			r.await(o, n, job.Completed, 9*time.Second)
+			for i := range 3 {
+				starts += r.fleet.Starts(job.TaskRef{Job: testID(n), Index: i})
+			}
+		}
+		assert.Assert(t, starts > 12 && starts <= 12+5, "%d starts", starts)
+	})
+}
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -101,14 +101,15 @@
 }
 
 type task struct {
-	step     *stepState
-	index    int
-	done     bool
-	run      int // Highest run number that was used.
-	failures map[int]bool
-	saved    string
-	attempts []*attempt
-	failedOn []worker.ID // Workers on which a run has failed.
+	step      *stepState
+	index     int
+	done      bool
+	run       int // Highest run number that was used.
+	failures  map[int]bool
+	saved     string
+	attempts  []*attempt
+	failedOn  []worker.ID // Workers on which a run has failed.
+	restarted bool        // A stalled run of it was stopped.
 	// notBefore delays the next start, on the shard's clock.
 	notBefore time.Duration
 }
@@ -203,7 +204,8 @@
 	holdSent  time.Duration
 	failures  int // Holds in a row without an answer.
 	restUntil time.Duration
-	silent    int // Starts in a row without an answer.
+	silent    int           // Starts in a row without an answer.
+	endedAt   time.Duration // When a run that had ended was last listed.
 	// failedJobs are the jobs of which a run has failed here since one ended as done.
 	failedJobs map[job.ID]struct{}
 	faults     int // How often the worker rested as faulty since then.
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -283,6 +283,7 @@
 func (s *Shard) checkWorker(w *workerState, now time.Duration) {
 	s.hold(w)
 	s.paceWorker(w, now)
+	s.checkStalled(w, now)
 	if w.registered {
 		s.recordWorker(w)
 	}
