--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -361,6 +361,25 @@
 	})
 }
 
+// Guards against a small process that takes a shard which it cannot serve, since the
+// large ones renew late while the store is slow.
+func TestSmallProcessLetsLateLargeOnesTake(t *testing.T) {
+	members := map[string]int64{"small": 192}
+	for i := range 5 {
+		members[fmt.Sprint("large-", i)] = 800
+	}
+	assert.Equal(t, rank("a", "small", members, map[string]int{}), 5)
+	for i := range 5 {
+		assert.Assert(t, rank("a", fmt.Sprint("large-", i), members, map[string]int{}) < 5)
+	}
+	m := &Manager{o: Options{Member: "small"}, members: map[string]memberRow{}}
+	now := 10 * time.Second
+	for name, cpu := range members {
+		m.members[name] = memberRow{&jobpb.Member{CpuMilli: cpu}, 1, now - 3*time.Second}
+	}
+	assert.DeepEqual(t, m.alive(now), members)
+}
+
 // Guards against processes that disagree on who takes a vacant shard.
 func TestAssignIsBalanced(t *testing.T) {
 	members := map[string]int64{"x": 400, "y": 400}
--- a/jobs/cluster/options.go
+++ b/jobs/cluster/options.go
@@ -77,9 +77,10 @@
 	// takeoverStep is the time between the turns of two processes to take a shard.
 	takeoverStep = 250 * time.Millisecond
 	// aliveWindow is the age up to which a renewal counts a member for the assignment
-	// of shards: processes renew every 1.6 s and read every 0.8 s. Those that failed
-	// together with an owner are out of it when its right has passed.
-	aliveWindow = 2600 * time.Millisecond
+	// of shards. While the store is slow, renewals of sound processes are that late, and
+	// a shorter window would leave the shards to whichever process, however small,
+	// renewed last.
+	aliveWindow = 4 * time.Second
 )
 
 // Validate reports options that cannot be used.
--- a/jobs/shard/vacate.go
+++ b/jobs/shard/vacate.go
@@ -31,9 +31,10 @@
 // Report is the demand of a shard and the use of its workers.
 type Report struct {
 	Workers []Use
-	Used    job.Resources
+	// Used is what runs, but for tasks of jobs that have passed their objective.
+	Used job.Resources
 	// Waiting is what the tasks that wait for a worker ask for, as far as their
-	// jobs can be in time; Late is the rest.
+	// jobs can be in time; Late is the rest, with what runs of overdue jobs.
 	Waiting job.Resources
 	Late    job.Resources
 	// Arriving is the work that came in the last second.
@@ -77,6 +78,7 @@
 		}
 	}
 	var r Report
+	var late job.Resources // Of running tasks.
 	for _, w := range s.workers {
 		if !w.accounted {
 			r.Unaccounted = append(r.Unaccounted, w.info.ID)
@@ -86,13 +88,17 @@
 		}
 		use := Use{ID: w.info.ID, Tasks: len(w.attempts), Vacated: now < w.vacating && len(w.attempts) == 0 && w.accounted}
 		for _, a := range w.attempts {
-			if a.task != nil && a.task.step.spec.LongRunning {
+			switch {
+			case a.task != nil && a.task.step.spec.LongRunning:
 				use.Lasting++
+			case a.task != nil && s.overdue(a.task.step.job, now):
+				late = late.Plus(a.charge)
 			}
 		}
 		r.Workers = append(r.Workers, use)
 		r.Used = r.Used.Plus(w.used)
 	}
+	r.Used, r.Late = r.Used.Minus(late), late
 	for step := range s.steps {
 		if !step.job.alive() || step.idle == 0 {
 			continue
@@ -108,6 +114,12 @@
 	return r, true
 }
 
+// overdue reports whether a job has passed its objective. What runs of it then is
+// worth little, and holds no VM that the jobs of another pool need in time.
+func (s *Shard) overdue(js *jobState, now time.Duration) bool {
+	return !js.lasting && now > js.submitted+s.work(js).Objective
+}
+
 // waiting is what the tasks of a step without an attempt ask for.
 func (s *stepState) waiting() job.Resources {
 	charge, n := s.spec.Charge(), int64(s.idle)
