Soak: give the processes ports that no other soak and no outgoing connection takes

Ports were chosen among those of outgoing connections and given back before use. Now each soak takes ports of its own from 20000 on.

--- a/testbed/soak/process.go
+++ b/testbed/soak/process.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -71,13 +72,29 @@
 	return p, err
 }
 
+const (
+	// Ports lie below those that the system gives to outgoing connections, and those
+	// of soaks that run at the same time lie apart: a process that is stopped gets its
+	// port back.
+	firstPort = 20000
+	lastPort  = 32000
+	portsEach = 100
+)
+
+var portsTaken atomic.Int32
+
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a port: %w", err)
+	var err error
+	for range portsEach {
+		n := os.Getpid()*portsEach + int(portsTaken.Add(1))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			listener.Close()
+			return address, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", fmt.Errorf("find a port: %w", err)
 }
 
 func (p *process) start() error {
