Waiting calls no longer repeat the first reading of the process rows

They used up the store's rate: 'read members: status 429' from 36 to 45 s, shards taken at 43.7 to 45 s although the store was back at 37.6 s. Now the first reading is left to the renewals, other readings on a call's behalf are 50 ms apart, and the rest of a first reading is left out once one part fails. Test: TestCallsDoNotRepeatTheFirstReading fails before (101 readings in 2 s).

--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -53,7 +53,8 @@
 	busy        bool
 	ticks       int
 	renewDue    bool
-	lastRead    time.Duration
+	lastRead    time.Duration // When a reading was last answered.
+	readAt      time.Duration // When a reading last began.
 	outageEnded time.Duration // When rows could be read again after a while without.
 	rejections  int           // Renewals in a row that the store rejected, up to maxPauseShift.
 	view        view
@@ -239,6 +240,7 @@
 }
 
 func (m *Manager) read() {
+	m.readAt = m.o.Clock()
 	after, limit := m.view.version, m.o.CallTimeout
 	if after == 0 {
 		limit *= firstReadFactor // All rows are read.
@@ -259,9 +261,11 @@
 	}()
 }
 
-// Refresh reads the rows again, for example after a peer said that it does not own a shard.
+// Refresh reads the changes of the rows, for example after a peer said that it does
+// not own a shard. The first reading, of all rows, is left to the renewals: many calls
+// that wait would repeat it without pause and use up the store's rate.
 func (m *Manager) Refresh() {
-	if !m.busy {
+	if !m.busy && m.view.version > 0 && m.o.Clock()-m.readAt >= refreshGap {
 		m.busy = true
 		m.read()
 	}
--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -29,7 +29,8 @@
 // faulty passes calls to a shared store, unless this member is cut off.
 type faulty struct {
 	*rowstest.Store
-	cut atomic.Uint32 // A rowstest.Fault.
+	cut   atomic.Uint32 // A rowstest.Fault.
+	reads atomic.Int32
 }
 
 func (f *faulty) set(fault rowstest.Fault) { f.cut.Store(uint32(fault)) }
@@ -52,6 +53,10 @@
 }
 
 func (f *faulty) Read(ctx context.Context, table, part, from string) (rows.Page, error) {
+	f.reads.Add(1)
+	if f.fault() == rowstest.Down {
+		return rows.Page{}, rows.ErrNotDone
+	}
 	if f.fault() == rowstest.Silent {
 		<-ctx.Done()
 		return rows.Page{}, rowstest.ErrNoAnswer
@@ -313,6 +318,21 @@
 	})
 }
 
+// Guards against processes whose waiting calls repeat the first reading without pause:
+// after an outage they used up the store's rate, and nobody got an owner for seconds.
+func TestCallsDoNotRepeatTheFirstReading(t *testing.T) {
+	withGroup(t, 0, func(g *group) {
+		m := g.add()
+		m.store.set(rowstest.Down)
+		m.store.reads.Store(0)
+		for range 100 {
+			g.do(m.Refresh)
+			time.Sleep(20 * time.Millisecond)
+		}
+		assert.Assert(t, m.store.reads.Load() <= 20, "%d readings in 2 s", m.store.reads.Load())
+	})
+}
+
 // Guards against shards that stay without owner for seconds since they were
 // assigned to processes that failed together with their owner.
 func TestManyFailTogether(t *testing.T) {
--- a/jobs/cluster/options.go
+++ b/jobs/cluster/options.go
@@ -59,6 +59,8 @@
 	// doubles with each rejection by the store, maxPauseShift times at most.
 	renewPause    = 100 * time.Millisecond
 	maxPauseShift = 3
+	// refreshGap is the least time from one reading to one that a call asked for.
+	refreshGap = 50 * time.Millisecond
 	// idleTicks is the number of intervals between renewals of a process without shards.
 	idleTicks = 2
 	// takeoverMargin is added to a right before it is taken as passed: it covers
--- a/jobs/cluster/view.go
+++ b/jobs/cluster/view.go
@@ -56,13 +56,14 @@
 	if err != nil {
 		return rows.Page{}, err
 	}
-	var (
-		group errgroup.Group
-		pages [memberParts]rows.Page
-	)
+	var pages [memberParts]rows.Page
+	group, ctx := errgroup.WithContext(ctx) // The rest is left out once one part fails.
 	group.SetLimit(readsAtOnce)
 	for n := range memberParts {
 		group.Go(func() (err error) {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
 			pages[n], err = rows.ReadAll(ctx, store, table, memberPart(n))
 			return err
 		})
