Acknowledge ends only to the incarnation of a worker that listed them

What callers saw: TWICE, a task started again by the same process on the same worker after its run had ended as done and the end had been taken note of.

Cause: ends are numbered from 1 in each incarnation of a worker, and nothing in the protocol ties an acknowledgement to an incarnation. A hold carried the last stored number whenever it was sent: after a hold without a reply, in each query beside a hold, and after a transaction that had taken long. If the worker had restarted meanwhile, it forgot ends that it had never listed. Their runs were in neither list, so they counted as lost.

Change: a number is sent only to an incarnation whose status arrived within the last 100 ms, which covers the time of a normal transaction. Later ones are preceded by a status request in the same call, and dropped if another incarnation replies. Queries and holds that follow a silent one carry none. A query that reveals a restart is no longer ignored.

Evidence: TestAcknowledgementDoesNotReachNextIncarnation and TestLateAcknowledgementDoesNotReachNextIncarnation fail on the former code with tasks that start 'on w0 after it was done on w0'. Ruled out: the order of replies (statuses older than the last one are ignored, and their ends are listed again).

--- /dev/null
+++ b/jobs/shard/incarnation.go
@@ -0,0 +1,62 @@
+package shard
+
+import (
+	"context"
+
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/worker"
+)
+
+// A worker that starts again under its ID numbers the ends of its runs from 1 and knows
+// nothing of before. What the owner knows about one incarnation must not be applied to the
+// next one: an acknowledgement would make it forget ends that the owner has not seen, and
+// orders sent before the restart was noticed may have been carried out by either.
+
+// hold sends a hold. With confirm it first requests the status, and sends an acknowledgement
+// only if the incarnation that started at born is the one that replies.
+func (s *Shard) hold(ctx context.Context, to worker.Target, order worker.Hold, confirm bool, born int64) (worker.Status, error) {
+	if confirm {
+		status, err := s.opts.Workers.Hold(ctx, to, worker.Hold{Fence: order.Fence})
+		if err != nil || status.StartedUnixMs != born {
+			return status, err
+		}
+	}
+	return s.opts.Workers.Hold(ctx, to, order)
+}
+
+// reportingIncarnation returns the state of the incarnation that started at born and has
+// sent a status; 0 if the status does not tell.
+func (s *Shard) reportingIncarnation(w *workerState, born int64) *workerState {
+	if w.info.StartedUnixMs == 0 {
+		w.info.StartedUnixMs = born
+	}
+	if born == 0 || born == w.info.StartedUnixMs {
+		return w
+	}
+	return s.replaceRestartedWorker(w, born)
+}
+
+// replaceRestartedWorker replaces the state of a worker by that of its next incarnation.
+// Calls and transactions in flight keep their reference to the former state.
+func (s *Shard) replaceRestartedWorker(former *workerState, born int64) *workerState {
+	s.recordEvent(eventlog.WorkerRestarted, eventlog.Fields{"worker": former.info.ID, "runs": len(former.attempts)})
+	s.removeAttempts(former)
+	s.markAccountedFor(former)
+	w := s.addWorker(former.info)
+	w.info.StartedUnixMs = born
+	w.registered, w.accountedFor, w.vacateUntil = former.registered, true, former.vacateUntil
+	w.rowQueued = true
+	s.journal.workerRows = append(s.journal.workerRows, w)
+	s.stopUnansweredStarts(w)
+	return w
+}
+
+// stopUnansweredStarts stops the runs whose start order may still reach a new incarnation
+// of a worker. The new incarnation does not know about the stop orders that the former one
+// received.
+func (s *Shard) stopUnansweredStarts(w *workerState) {
+	s.removeExpiredStarts(w.info.ID)
+	for key := range s.unansweredStarts[w.info.ID] {
+		s.stopAttempt(s.addDiscoveredRun(w, key))
+	}
+}
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -125,6 +125,9 @@
 	// maxRenewalInterval is the time since the last hold after which a lease is renewed
 	// even if the ends of runs are not committed yet.
 	maxRenewalInterval = 700 * time.Millisecond
+	// maxIncarnationAge is the age of a worker's last status up to which the worker is taken
+	// to be the same incarnation. A worker takes longer to restart and to complete a run.
+	maxIncarnationAge = 100 * time.Millisecond
 	// minClockRate is the slowest rate of a worker's clock relative to real time.
 	minClockRate = 0.98
 	// leaseMargin is added to a lease before it counts as expired.
--- a/jobs/shard/restart_test.go
+++ b/jobs/shard/restart_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/worker/workertest"
 )
 
 // Guards against an acknowledgement for the ends of one incarnation of a worker that
@@ -26,3 +27,30 @@
 		r.awaitState(o, 2, job.Completed, 20*time.Second)
 	})
 }
+
+// Guards against the same while a transaction takes long: the worker restarts between the
+// status that listed an end and the acknowledgement of that end.
+func TestLateAcknowledgementDoesNotReachNextIncarnation(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.store.PartServiceTime = 500 * time.Millisecond
+		r.addWorkers(2)
+		r.fleet.SetRunPlan(func(ref job.TaskRef, _ int) workertest.RunPlan {
+			if ref.Job == testJobID(2) && ref.Step == 0 {
+				return workertest.RunPlan{Duration: 400 * time.Millisecond}
+			}
+			return workertest.RunPlan{Duration: 100 * time.Millisecond}
+		})
+		o := r.startOwner()
+		time.Sleep(3 * time.Second)
+		first, second := simpleJob(1, 1), simpleJob(2, 1)
+		second.Steps = append(second.Steps, job.Step{Count: 2, Resources: job.Resources{CPU: 1000}, After: []int{0}, RequiredLabel: "rack-w0"})
+		first.Steps[0].RequiredLabel, second.Steps[0].RequiredLabel = "rack-w0", "rack-w1"
+		r.callOnLoop(func() { o.Submit(first, func(Result) {}) })
+		assert.Equal(t, r.submit(o, second).Code, OK)
+		time.Sleep(350 * time.Millisecond) // The end of the first job is listed, and not stored yet.
+		restarted := r.workerInfos[0]
+		restarted.StartedUnixMs++
+		r.fleet.Add(restarted)
+		r.awaitState(o, 2, job.Completed, 10*time.Second)
+	})
+}
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -236,6 +236,7 @@
 	// lastStatusClock is the worker's clock in the last status that was applied.
 	lastStatusClock worker.ClockTime
 	lastStatusAt    time.Duration // When that status was applied.
+	statusArrivedAt time.Duration // When the last status arrived.
 	holdRepliedAt   time.Duration // When the last hold was answered.
 	// endWindow is how long before the clock of that status its ends may have happened.
 	endWindow time.Duration
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -81,32 +81,6 @@
 	return w
 }
 
-// replaceRestartedWorker replaces the state of a worker by that of its next
-// incarnation. Calls and transactions in flight keep their reference to the former
-// state.
-func (s *Shard) replaceRestartedWorker(former *workerState, born int64) *workerState {
-	s.recordEvent(eventlog.WorkerRestarted, eventlog.Fields{"worker": former.info.ID, "runs": len(former.attempts)})
-	s.removeAttempts(former)
-	s.markAccountedFor(former)
-	w := s.addWorker(former.info)
-	w.info.StartedUnixMs = born
-	w.registered, w.accountedFor, w.vacateUntil = former.registered, true, former.vacateUntil
-	w.rowQueued = true
-	s.journal.workerRows = append(s.journal.workerRows, w)
-	s.stopUnansweredStarts(w)
-	return w
-}
-
-// stopUnansweredStarts stops the runs whose start order may still reach a new
-// incarnation of a worker. The new incarnation does not know about the stop orders that
-// the former one received.
-func (s *Shard) stopUnansweredStarts(w *workerState) {
-	s.removeExpiredStarts(w.info.ID)
-	for key := range s.unansweredStarts[w.info.ID] {
-		s.stopAttempt(s.addDiscoveredRun(w, key))
-	}
-}
-
 // unansweredStart is a start order without a reply.
 type unansweredStart struct {
 	sentAt time.Duration
@@ -174,11 +148,12 @@
 	if w.lastAppliedEnd > w.lastCommittedEnd && now-w.holdSentAt < maxRenewalInterval {
 		return // When the commit in flight completes, it sends a hold that acknowledges the ends.
 	}
-	order := worker.Hold{Fence: s.opts.Fence, AckedUpTo: w.lastCommittedEnd}
-	// A worker that did not reply is queried without renewing its lease. It might
-	// receive the renewal although its reply is lost, which would delay the restart of
-	// its tasks on other workers.
+	order := worker.Hold{Fence: s.opts.Fence}
+	// A worker that did not reply is queried without renewing its lease and without an
+	// acknowledgement. It might receive the renewal although its reply is lost, which would
+	// delay the restart of its tasks on other workers, and it might have restarted.
 	if w.clock > 0 && w.failedHolds == 0 {
+		order.AckedUpTo = w.lastCommittedEnd
 		order.LeaseExpiry = max(w.minClockNow(now)+s.opts.LeaseDuration, w.maxLeaseExpiry)
 		w.maxLeaseExpiry = order.LeaseExpiry
 		order.Wait = holdWait
@@ -189,12 +164,14 @@
 		}
 	}
 	w.holdInFlight, w.holdSentAt = true, now
-	sent, to := s.nextLogicalTime(), w.target()
+	sent, to, confirm := s.nextLogicalTime(), w.target(), order.AckedUpTo > 0 && now-w.statusArrivedAt > maxIncarnationAge
+	born := w.info.StartedUnixMs
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), order.Wait+holdTimeout)
 		defer cancel()
-		status, err := s.opts.Workers.Hold(ctx, to, order)
-		s.opts.Loop.Post(func() { s.handleHoldReply(w, sent, status, err) })
+		status, err := s.hold(ctx, to, order, confirm, born)
+		arrived := s.opts.Clock()
+		s.opts.Loop.Post(func() { s.handleHoldReply(w, sent, arrived, status, err) })
 	}()
 }
 
@@ -236,15 +213,17 @@
 	if !s.canAct() || s.workers[w.info.ID] != w {
 		return false
 	}
-	sent, to, order := s.nextLogicalTime(), w.target(), worker.Hold{Fence: s.opts.Fence, AckedUpTo: w.lastCommittedEnd}
+	sent, to, order := s.nextLogicalTime(), w.target(), worker.Hold{Fence: s.opts.Fence}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		status, err := s.opts.Workers.Hold(ctx, to, order)
+		arrived := s.opts.Clock()
 		s.opts.Loop.Post(func() {
-			if err == nil && !s.stopped && s.workers[w.info.ID] == w && (status.StartedUnixMs == 0 || status.StartedUnixMs == w.info.StartedUnixMs) {
-				w.updateClock(status.ClockTime, s.opts.Clock())
-				s.applyStatus(w, sent, status)
+			if err == nil && !s.stopped && s.workers[w.info.ID] == w {
+				if current := s.handleStatus(w, sent, arrived, status); current != w {
+					s.sendHold(current)
+				}
 			}
 			done(err)
 		})
@@ -253,7 +232,7 @@
 }
 
 // handleHoldReply applies the reply to a hold and sends the next one.
-func (s *Shard) handleHoldReply(w *workerState, sent logicalTime, status worker.Status, err error) {
+func (s *Shard) handleHoldReply(w *workerState, sent logicalTime, arrived time.Duration, status worker.Status, err error) {
 	w.holdInFlight, w.holdRepliedAt = false, s.opts.Clock()
 	if s.stopped || s.workers[w.info.ID] != w {
 		return
@@ -263,9 +242,15 @@
 		return
 	}
 	w.failedHolds = 0
-	if status.StartedUnixMs != 0 && w.info.StartedUnixMs != 0 && status.StartedUnixMs != w.info.StartedUnixMs {
-		w = s.replaceRestartedWorker(w, status.StartedUnixMs)
-	}
+	w = s.handleStatus(w, sent, arrived, status)
+	s.markAccountedFor(w)
+	s.sendHold(w)
+}
+
+// handleStatus applies a status that arrived at the given time. It returns the state of the
+// incarnation that reported it.
+func (s *Shard) handleStatus(w *workerState, sent logicalTime, arrived time.Duration, status worker.Status) *workerState {
+	w = s.reportingIncarnation(w, status.StartedUnixMs)
 	first := w.clock == 0
 	if first {
 		s.recordEvent(eventlog.WorkerJoined, eventlog.Fields{
@@ -273,13 +258,10 @@
 			"age": s.opts.WallClock().Sub(time.UnixMilli(w.info.StartedUnixMs)).String(), "recorded": w.rowCommitted,
 		})
 	}
+	w.statusArrivedAt = arrived
 	w.updateClock(status.ClockTime, s.opts.Clock())
 	s.applyStatus(w, sent, status)
-	s.markAccountedFor(w)
-	s.sendHold(w)
-	if first {
-		s.schedulePlacement()
-	}
+	return w
 }
 
 // handleHoldError repeats a failed hold after holdRetryDelay. It relinquishes the
