Keep runs that may execute on the next incarnation of a restarted worker

Cause: when the owner learned of a restart, it dropped all runs of the worker, also those whose start had reached the next incarnation before. They were counted again only when a status listed them; until then their tasks started elsewhere and their capacity counted as free. A worker of a former owner also counted as accounted for after a restart, although the former owner's starts could have reached the next incarnation as well.

Change: runs that no status of the former incarnation listed move to the next one, and its first status decides. Runs that a status had listed have certainly ended. Runs being stopped are stopped again. A reply to a moved start does not set the clock, since it may come from the former incarnation. A restart does not account for the worker any more; its first reply does.

--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -40,23 +40,52 @@
 // Calls and transactions in flight keep their reference to the former state.
 func (s *Shard) replaceRestartedWorker(former *workerState, born int64) *workerState {
 	s.recordEvent(eventlog.WorkerRestarted, eventlog.Fields{"worker": former.info.ID, "runs": len(former.attempts)})
-	s.removeAttempts(former)
-	s.markAccountedFor(former)
 	w := s.addWorker(former.info)
 	w.info.StartedUnixMs = born
-	w.registered, w.accountedFor, w.vacateUntil = former.registered, true, former.vacateUntil
+	w.registered, w.accountedFor, w.vacateUntil = former.registered, former.accountedFor, former.vacateUntil
 	w.rowQueued = true
 	s.journal.workerRows = append(s.journal.workerRows, w)
+	s.moveUncertainRuns(former, w)
 	s.stopUnansweredStarts(w)
 	return w
 }
 
+// moveUncertainRuns moves the runs that no status of the former incarnation listed, since
+// their orders may have reached the next one. The first status that it sends afterwards
+// decides. The other runs have ended with the former incarnation.
+func (s *Shard) moveUncertainRuns(former, next *workerState) {
+	for key, a := range former.attempts {
+		switch {
+		case a.timing.listedClock > 0:
+			s.removeAttempt(a)
+		case a.phase == stopping:
+			s.removeAttempt(a)
+			s.stopAttempt(s.addDiscoveredRun(next, key))
+		default:
+			a.moveTo(next)
+		}
+	}
+}
+
+// moveTo assigns the attempt to the next incarnation of its worker.
+func (a *attempt) moveTo(next *workerState) {
+	former, key := a.worker, a.key()
+	delete(former.attempts, key)
+	former.used = former.used.Minus(a.reserved)
+	a.worker, a.movedFrom = next, former
+	a.timing.noSample = true
+	next.attempts[key] = a
+	next.used = next.used.Plus(a.reserved)
+}
+
 // stopUnansweredStarts stops the runs whose start order may still reach a new incarnation
-// of a worker. The new incarnation does not know about the stop orders that the former one
-// received.
+// of a worker, unless the order is awaited. The new incarnation does not know about the
+// stop orders that the former one received.
 func (s *Shard) stopUnansweredStarts(w *workerState) {
 	s.removeExpiredStarts(w.info.ID)
 	for key := range s.unansweredStarts[w.info.ID] {
-		s.stopAttempt(s.addDiscoveredRun(w, key))
+		if w.attempts[key] == nil {
+			s.stopAttempt(s.addDiscoveredRun(w, key))
+		}
 	}
 }
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -40,10 +40,12 @@
 	}
 	now := s.opts.Clock()
 	if err == nil {
-		a.worker.updateClock(clock, now)
+		if a.movedFrom == nil { // Otherwise the clock may be that of the former incarnation.
+			a.worker.updateClock(clock, now)
+			a.timing.noteStarted(clock)
+		}
 		a.worker.consecutiveUnansweredStarts = 0
 		a.answeredAt = s.nextLogicalTime()
-		a.timing.noteStarted(clock)
 		if a.phase == starting {
 			a.phase, a.firstSeenAt = running, now
 		}
--- a/jobs/shard/restart_test.go
+++ b/jobs/shard/restart_test.go
@@ -1,12 +1,14 @@
 package shard
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/worker"
 	"peridotcrank.dev/jobs/worker/workertest"
 )
 
@@ -54,3 +56,33 @@
 		r.awaitState(o, 2, job.Completed, 10*time.Second)
 	})
 }
+
+// Guards against a second run of a task whose start had reached the next incarnation of a
+// worker before the owner knew of the restart.
+func TestRestartKeepsRunsOfNextIncarnation(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(2)
+		r.fleet.SetRunPlanByWorker(func(id worker.ID, _ job.TaskRef) workertest.RunPlan {
+			if id == "w0" {
+				return workertest.RunPlan{Duration: 3 * time.Second}
+			}
+			return workertest.RunPlan{Duration: 100 * time.Millisecond}
+		})
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		restarted := slices.Clone(r.workerInfos)
+		restarted[0].StartedUnixMs++
+		r.fleet.Add(restarted[0])
+		assert.Equal(t, r.submit(o, simpleJob(1, 8)).Code, OK)
+		time.Sleep(200 * time.Millisecond) // The tasks on w1 have ended, so it has free capacity.
+		r.fleet.SetFault(func(id worker.ID, order string) workertest.Fault {
+			if id == "w0" && order == "hold" {
+				return workertest.RequestLost
+			}
+			return workertest.NoFault
+		})
+		time.AfterFunc(time.Second, func() { r.fleet.SetFault(nil) })
+		r.callOnLoop(func() { o.SetWorkers(restarted) })
+		r.awaitState(o, 1, job.Completed, 5*time.Second)
+	})
+}
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -194,8 +194,11 @@
 	pace         int     // Pace last confirmed by the worker, in percent.
 	paceInFlight bool
 	timing       runTiming
-	found        bool          // Not started by this owner.
-	countedIn    *workspaceCap // The cap in whose use the run is counted, or nil.
+	found        bool // Not started by this owner.
+	// movedFrom is the incarnation to which the start was sent, if the worker has restarted
+	// since; nil otherwise.
+	movedFrom *workerState
+	countedIn *workspaceCap // The cap in whose use the run is counted, or nil.
 }
 
 func (a *attempt) key() runKey { return runKey{a.ref, a.run} }
