Use a registry entry only for the incarnation that it describes

What callers saw: LIMIT, a start brings a worker over its capacity; and runs that are dropped and started again.

Cause: a worker restarts under its id, and the owner learns of it from the worker before the registry has changed. The next change of any other entry applied the old entry again: the start time went back, so the next status of the worker looked like one more restart, and so on for as long as the registry was behind. Until the registry followed, tasks were placed by the capacity of the former incarnation, though the new one may be of a smaller kind. An entry without a start time did the same, and hid restarts.

Change: an entry is used only if its start time is that of the known incarnation, and a worker gets no tasks while the registry does not list its incarnation.

The check of the simulated workers now counts a run that a second run of the same task replaces.

--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -42,6 +42,7 @@
 	s.recordEvent(eventlog.WorkerRestarted, eventlog.Fields{"worker": former.info.ID, "runs": len(former.attempts)})
 	w := s.addWorker(former.info)
 	w.info.StartedUnixMs = born
+	w.applyEntry(former.entry)
 	w.registered, w.accountedFor, w.vacateUntil = former.registered, former.accountedFor, former.vacateUntil
 	w.rowQueued = true
 	s.journal.workerRows = append(s.journal.workerRows, w)
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -206,8 +206,9 @@
 // workerState is the state of one incarnation of a worker.
 type workerState struct {
 	info                  worker.Info
-	registered            bool // Listed in the platform's registry.
-	rowCommitted          bool // Its row is committed, so a later owner will query the worker.
+	registered            bool        // Listed in the platform's registry.
+	entry                 worker.Info // Registry entry that was read last, maybe of another incarnation.
+	rowCommitted          bool        // Its row is committed, so a later owner will query the worker.
 	rowQueued             bool
 	accountedFor          bool          // It replied to this owner, or its leases from former owners have expired.
 	vacateUntil           time.Duration // It gets no new tasks until then.
@@ -273,6 +274,12 @@
 	return w.failedHolds > 0 && len(w.attempts) > 0 && w.clock > 0 && now > w.leaseExpiry()
 }
 
+// hasCurrentEntry reports whether the registry lists this incarnation of the worker. Until
+// then its capacity is unknown, since it may differ from that of the former incarnation.
+func (w *workerState) hasCurrentEntry() bool {
+	return w.registered && w.entry.StartedUnixMs == w.info.StartedUnixMs
+}
+
 func (w *workerState) free() job.Resources { return w.info.Capacity.Minus(w.used) }
 
 // rack returns the worker's last label, which names its rack, or "" if the worker has
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -48,11 +48,21 @@
 	if w.info.StartedUnixMs != 0 && info.StartedUnixMs > w.info.StartedUnixMs {
 		w = s.replaceRestartedWorker(w, info.StartedUnixMs)
 	}
-	w.info, w.registered = info, true
+	w.registered = true
+	w.applyEntry(info)
 	s.queueWorkerRow(w)
 	s.sendHold(w)
 }
 
+// applyEntry stores the registry entry of a worker and uses it if it is that of the known
+// incarnation. The registry may be older than what the worker itself has reported.
+func (w *workerState) applyEntry(entry worker.Info) {
+	w.entry = entry
+	if w.info.StartedUnixMs == 0 || w.info.StartedUnixMs == entry.StartedUnixMs {
+		w.info = entry
+	}
+}
+
 // queueWorkerRow adds the worker's row to the next transaction, so that a later owner
 // queries the worker.
 func (s *Shard) queueWorkerRow(w *workerState) {
@@ -314,7 +324,7 @@
 // canReceiveTasks reports whether a worker is allowed to get new tasks.
 func (s *Shard) canReceiveTasks(w *workerState, now time.Duration) bool {
 	switch {
-	case !w.registered || !w.rowCommitted || !w.accountedFor || w.clock == 0:
+	case !w.hasCurrentEntry() || !w.rowCommitted || !w.accountedFor || w.clock == 0:
 		return false
 	case w.info.State != worker.Ready || w.failedHolds > 0:
 		return false
--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -63,8 +63,8 @@
 	f.starts[order.Task]++
 	f.checkStartAllowed(w, order)
 	r := &run{task: order.Task, number: order.Run}
-	w.runs[order.Task] = r
 	f.checkCapacity(w, r)
+	w.runs[order.Task] = r
 	plan := f.planRun(order.Task, order.Run)
 	if f.planRunOnWorker != nil {
 		plan = f.planRunOnWorker(w.info.ID, order.Task)
@@ -96,13 +96,13 @@
 	}
 }
 
-// checkCapacity records a violation when a run that just started brings its worker over
-// its capacity.
+// checkCapacity records a violation when a run that is about to start brings its worker
+// over its capacity.
 func (f *Fleet) checkCapacity(w *simulatedWorker, started *run) {
 	if f.reservedBy == nil {
 		return
 	}
-	var used job.Resources
+	used := f.reservedBy(started.task)
 	for _, r := range w.runs {
 		used = used.Plus(f.reservedBy(r.task))
 	}
