--- a/jobs/shard/incarnation_test.go
+++ b/jobs/shard/incarnation_test.go
@@ -10,6 +10,7 @@
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/worker"
+	"peridotcrank.dev/jobs/worker/workertest"
 )
 
 // restartKnownWithin is the time within which an owner learns from a worker that it
@@ -105,3 +106,56 @@
 		r.awaitState(o, 1, job.Completed, 4*time.Second)
 	})
 }
+
+// Guards against an owner that counts an incarnation as unused because the row of the
+// worker names the former one, while a start of the former owner runs there.
+func TestTakeoverWaitsForIncarnationThatItsRowDoesNotName(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(1)
+		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 3 * time.Second} })
+		first := r.startOwner()
+		time.Sleep(time.Second)
+		restarted := r.restartInFleet(0, r.workerInfos[0].Capacity)
+		assert.Equal(t, r.submit(first, simpleJob(1, 1)).Code, OK)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, r.fleet.Running(), 1)
+		first.callOnLoop(first.Stop)
+		r.workerInfos = []worker.Info{restarted}
+		r.addWorkers(1)
+		r.fleet.SetFault(func(id worker.ID, _ string) workertest.Fault {
+			if id == restarted.ID {
+				return workertest.RequestLost
+			}
+			return workertest.NoFault
+		})
+		second := r.startOwner()
+		time.Sleep(2 * time.Second)
+		r.fleet.SetFault(nil)
+		r.awaitState(second, 1, job.Completed, 3*testLease)
+	})
+}
+
+// Guards against runs that are not counted, and start again, because a restart of their
+// worker drops starts that the new incarnation had answered before the owner knew of it.
+func TestRestartKeepsStartsAnsweredByNewIncarnation(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(1)
+		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 3 * time.Second} })
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		restarted := r.restartInFleet(0, r.workerInfos[0].Capacity)
+		var former *workerState
+		var sent logicalTime
+		var status worker.Status
+		o.callOnLoop(func() {
+			former, sent = o.workers["w0"], o.nextLogicalTime()
+			status = worker.Status{ClockTime: o.opts.Clock(), StartedUnixMs: restarted.StartedUnixMs}
+		})
+		assert.Equal(t, r.submit(o, simpleJob(1, 4)).Code, OK)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, r.fleet.Running(), 4)
+		o.callOnLoop(func() { o.handleHoldReply(former, sent, o.opts.Clock(), status, nil) })
+		r.setRegistryEntry(o, 0, restarted)
+		r.awaitState(o, 1, job.Completed, 10*time.Second)
+	})
+}
