--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -41,7 +41,10 @@
 type simulatedWorker struct {
 	info        worker.Info
 	partitioned bool
-	terminated  bool // A new incarnation exists, or the worker was killed.
+	terminated  bool   // A new incarnation exists, or the worker was killed.
+	callsBroken bool   // Calls in flight fail at once, instead of waiting for their timeout.
+	reportedTo  uint64 // Highest fence of a hold that was answered with a status.
+	former      *simulatedWorker
 	fence       uint64
 	leaseExpiry time.Duration
 	leaseTimer  *time.Timer
@@ -61,14 +64,27 @@
 	}
 }
 
-// Add adds a worker. It replaces a worker with the same ID by a new incarnation.
-func (f *Fleet) Add(info worker.Info) {
+// Add adds a worker. It replaces a worker with the same ID by a new incarnation. Calls in
+// flight to the former one get no reply.
+func (f *Fleet) Add(info worker.Info) { f.add(info, false) }
+
+// Restart is like Add, but breaks the connections of calls in flight.
+func (f *Fleet) Restart(info worker.Info) { f.add(info, true) }
+
+func (f *Fleet) add(info worker.Info, breakCalls bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if old := f.workers[info.ID]; old != nil {
+	old := f.workers[info.ID]
+	f.workers[info.ID] = &simulatedWorker{
+		info: info, runs: map[job.TaskRef]*run{}, highestRun: map[job.TaskRef]int{}, leaseExpiry: f.now(), former: old,
+	}
+	if old != nil {
 		f.kill(old)
+		if breakCalls {
+			old.callsBroken = true
+			old.wakeHolds()
+		}
 	}
-	f.workers[info.ID] = &simulatedWorker{info: info, runs: map[job.TaskRef]*run{}, highestRun: map[job.TaskRef]int{}, leaseExpiry: f.now()}
 }
 
 // SetRunPlan sets the function that defines what runs do that start from now on.
--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -119,7 +119,7 @@
 			return worker.Status{}, ErrNoReply
 		}
 	}
-	return f.status(ctx, w)
+	return f.status(ctx, w, hold.Fence)
 }
 
 func (f *Fleet) acknowledge(w *simulatedWorker, upTo uint64) {
@@ -138,15 +138,19 @@
 	}
 }
 
-func (f *Fleet) status(ctx context.Context, w *simulatedWorker) (worker.Status, error) {
+func (f *Fleet) status(ctx context.Context, w *simulatedWorker, fence uint64) (worker.Status, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if w.callsBroken {
+		return worker.Status{}, ErrNoReply
+	}
 	if w.partitioned || w.terminated {
 		f.mu.Unlock()
 		<-ctx.Done()
 		f.mu.Lock()
 		return worker.Status{}, ErrNoReply
 	}
+	w.reportedTo = max(w.reportedTo, fence)
 	status := worker.Status{ClockTime: f.now(), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: append([]worker.RunEnd(nil), w.endedRuns...)}
 	for _, r := range w.runs {
 		status.Running = append(status.Running, worker.RunningTask{Task: r.task, Run: r.number, Percent: 100})
--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -63,7 +63,7 @@
 	f.starts[order.Task]++
 	f.checkStartAllowed(w, order)
 	r := &run{task: order.Task, number: order.Run}
-	f.checkCapacity(w, r)
+	f.checkCapacity(w, r, order.Fence)
 	w.runs[order.Task] = r
 	plan := f.planRun(order.Task, order.Run)
 	if f.planRunOnWorker != nil {
@@ -97,8 +97,8 @@
 }
 
 // checkCapacity records a violation when a run that is about to start brings its worker
-// over its capacity.
-func (f *Fleet) checkCapacity(w *simulatedWorker, started *run) {
+// over its capacity. fence is that of the owner that ordered the start.
+func (f *Fleet) checkCapacity(w *simulatedWorker, started *run, fence uint64) {
 	if f.reservedBy == nil {
 		return
 	}
@@ -106,11 +106,20 @@
 	for _, r := range w.runs {
 		used = used.Plus(f.reservedBy(r.task))
 	}
-	if !used.Fits(w.info.Capacity) {
+	if !used.Fits(w.info.Capacity) && !used.Fits(w.capacityKnownTo(fence)) {
 		f.recordViolation("%v run %d brings %s to %+v, over its capacity of %+v", started.task, started.number, w.info.ID, used, w.info.Capacity)
 	}
 }
 
+// capacityKnownTo returns the capacity of the last incarnation that sent a status to the
+// owner with the given fence. The owner cannot know that a later one has less.
+func (w *simulatedWorker) capacityKnownTo(fence uint64) job.Resources {
+	for w.reportedTo < fence && w.former != nil {
+		w = w.former
+	}
+	return w.info.Capacity
+}
+
 func (f *Fleet) endRun(w *simulatedWorker, r *run, outcome worker.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -129,6 +138,11 @@
 		f.done[r.task] = &doneRunEnd{worker: w, number: w.lastNumber}
 	}
 	w.endedRuns = append(w.endedRuns, worker.RunEnd{Number: w.lastNumber, Task: r.task, Run: r.number, Outcome: outcome})
+	w.wakeHolds()
+}
+
+// wakeHolds ends the wait of all holds.
+func (w *simulatedWorker) wakeHolds() {
 	if w.changed != nil {
 		close(w.changed)
 		w.changed = nil
