A worker is vacated only when the ends of its runs are stored

A worker keeps the end of a run until it is acknowledged, so it holds the only lasting record while the store does not answer. The owner reported it as vacated as soon as nothing ran there, the VM was moved or maintained, and its list went with it. If the owner then lost the shard, the next one found the task neither done nor running.

--- a/jobs/shard/vacate.go
+++ b/jobs/shard/vacate.go
@@ -25,7 +25,8 @@
 	ID          worker.ID
 	Tasks       int
 	LongRunning int // Tasks that run until their job is cancelled.
-	// Vacated is set when nothing runs on the worker and no task will be started there.
+	// Vacated is set when nothing runs on the worker, no task will be started there and
+	// the ends of its runs are stored, so that its VM may be reassigned.
 	Vacated bool
 }
 
@@ -93,7 +94,7 @@
 		if !w.registered {
 			continue
 		}
-		use := WorkerUsage{ID: w.info.ID, Tasks: len(w.attempts), Vacated: now < w.vacateUntil && len(w.attempts) == 0 && w.accountedFor}
+		use := WorkerUsage{ID: w.info.ID, Tasks: len(w.attempts), Vacated: now < w.vacateUntil && w.canEnd()}
 		for _, a := range w.attempts {
 			switch {
 			case a.task != nil && a.task.step.spec.LongRunning:
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -63,11 +63,17 @@
 	s.journal.workerRows = append(s.journal.workerRows, w)
 }
 
-// deleteVacatedWorkerRow deletes the row of a worker on which nothing runs and no start is
-// unanswered, since its VM may be reassigned at any moment. A later owner then does not
-// wait for this worker.
+// canEnd reports whether nothing is lost when the worker ends: it runs nothing, and does
+// not hold the only record of the end of a run.
+func (w *workerState) canEnd() bool {
+	return len(w.attempts) == 0 && w.accountedFor && w.lastCommittedEnd == w.lastAppliedEnd
+}
+
+// deleteVacatedWorkerRow deletes the row of a worker that can end and has no unanswered
+// start, since its VM may be reassigned at any moment. A later owner then does not wait for
+// this worker.
 func (s *Shard) deleteVacatedWorkerRow(w *workerState) {
-	if !w.rowCommitted || len(w.attempts) > 0 || !w.accountedFor || len(s.unansweredStarts[w.info.ID]) > 0 {
+	if !w.rowCommitted || !w.canEnd() || len(s.unansweredStarts[w.info.ID]) > 0 {
 		return
 	}
 	w.rowCommitted = false
