A new owner asks every recorded worker before it restarts inherited tasks

Cause: the workers that the former owner had recorded counted as accounted for once the longest inherited lease had passed since the takeover began. The claim and the load of the rows count towards that time. When the store rejected the claim for longer than the lease, all workers were accounted for in the first periodic check after the load, before the first hold was sent to any of them. The first worker that replied got tasks whose runs were listed as done by workers whose replies arrived a few milliseconds later.

A worker is now accounted for by time only if it left two holds in a row unanswered. A worker that replies is accounted for by its reply, as before.

--- a/jobs/rows/rowstest/store.go
+++ b/jobs/rows/rowstest/store.go
@@ -32,6 +32,8 @@
 	Delay time.Duration
 	// Latency is the duration of each call.
 	Latency time.Duration
+	// PageRows is the maximum number of rows that a read returns; 0 for no limit.
+	PageRows int
 	// PartServiceTime is the duration of each transaction of a part; a part executes its
 	// transactions sequentially. Transactions that would wait longer than maxPartWait are
 	// rejected.
@@ -214,6 +216,9 @@
 		}
 	}
 	slices.SortFunc(page.Rows, func(a, b rows.Row) int { return strings.Compare(a.Name, b.Name) })
+	if s.PageRows > 0 && len(page.Rows) > s.PageRows {
+		page.Rows, page.More = page.Rows[:s.PageRows], true
+	}
 	return page, nil
 }
 
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -127,6 +127,10 @@
 	maxRenewalInterval = 700 * time.Millisecond
 	// minClockRate is the slowest rate of a worker's clock relative to real time.
 	minClockRate = 0.98
+	// minUnansweredHolds is the number of consecutive holds without a reply from which a
+	// new owner takes a worker whose leases have expired for unreachable. A worker that
+	// replies may list ends of runs, however long ago its leases expired.
+	minUnansweredHolds = 2
 	// leaseMargin is added to a lease before it counts as expired.
 	leaseMargin = 100 * time.Millisecond
 	// maxUnansweredStarts is the number of consecutive starts without a reply after
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -206,7 +206,7 @@
 	registered            bool // Listed in the platform's registry.
 	rowCommitted          bool // Its row is committed, so a later owner will query the worker.
 	rowQueued             bool
-	accountedFor          bool          // It replied to this owner, or its leases from former owners have expired.
+	accountedFor          bool          // It replied to this owner, or it does not reply and its leases from former owners have expired.
 	vacateUntil           time.Duration // It gets no new tasks until then.
 	maintenanceDueUntil   time.Duration // Its VM counts as due for maintenance until then.
 	confirmingLeaseExpiry bool          // A status query that confirms the expiry of its lease is in flight.
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -315,7 +315,7 @@
 	if w.failedHolds > 0 && w.clock == 0 && (!w.registered || now > w.knownSince+maxOrderDelay+s.opts.LeaseDuration) {
 		s.removeAttempts(w) // The starts were not answered and can no longer run.
 	}
-	if !w.accountedFor && now > s.ownerSince+time.Duration(float64(s.inheritedLease)/minClockRate)+leaseMargin {
+	if !w.accountedFor && w.failedHolds >= minUnansweredHolds && now > s.ownerSince+time.Duration(float64(s.inheritedLease)/minClockRate)+leaseMargin {
 		s.markAccountedFor(w)
 	}
 	if s.registryRead && !w.registered && w.failedHolds > 0 && w.accountedFor && len(w.attempts) == 0 {
--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -30,6 +30,7 @@
 	planRun         func(task job.TaskRef, run int) RunPlan
 	planRunOnWorker func(id worker.ID, task job.TaskRef) RunPlan
 	chooseFault     func(id worker.ID, order string) Fault
+	replyDelay      func(worker.ID) time.Duration
 	createdAt       time.Time
 	workers         map[worker.ID]*simulatedWorker
 	done            map[job.TaskRef]*doneRunEnd
@@ -92,6 +93,14 @@
 	f.chooseFault = choose
 }
 
+// SetReplyDelay sets the function that returns how long the replies to the holds of a
+// worker are on their way; nil for no delay.
+func (f *Fleet) SetReplyDelay(delay func(worker.ID) time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replyDelay = delay
+}
+
 // WithLock runs g under the fleet's lock, so that g can change state that the
 // functions for faults and run plans use.
 func (f *Fleet) WithLock(g func()) {
--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"peridotcrank.dev/jobs/job"
@@ -24,6 +25,9 @@
 	RequestLost        // The order is neither executed nor gets a reply.
 )
 
+// maxListedEnds is the maximum number of ended runs in a status.
+const maxListedEnds = 500
+
 const (
 	defaultDelay    = 4 * time.Second
 	defaultStopTime = 50 * time.Millisecond
@@ -119,7 +123,27 @@
 			return worker.Status{}, ErrNoReply
 		}
 	}
-	return f.status(ctx, w)
+	status, err := f.status(ctx, w)
+	if err != nil {
+		return worker.Status{}, err
+	}
+	return status, f.waitForReply(ctx, to.ID)
+}
+
+// waitForReply waits while the reply of a worker is on its way.
+func (f *Fleet) waitForReply(ctx context.Context, id worker.ID) error {
+	f.mu.Lock()
+	var delay time.Duration
+	if f.replyDelay != nil {
+		delay = f.replyDelay(id)
+	}
+	f.mu.Unlock()
+	select {
+	case <-time.After(delay):
+		return nil
+	case <-ctx.Done():
+		return ErrNoReply
+	}
 }
 
 func (f *Fleet) acknowledge(w *simulatedWorker, upTo uint64) {
@@ -147,7 +171,8 @@
 		f.mu.Lock()
 		return worker.Status{}, ErrNoReply
 	}
-	status := worker.Status{ClockTime: f.now(), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: append([]worker.RunEnd(nil), w.endedRuns...)}
+	listed := w.endedRuns[:min(len(w.endedRuns), maxListedEnds)]
+	status := worker.Status{ClockTime: f.now(), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: slices.Clone(listed)}
 	for _, r := range w.runs {
 		status.Running = append(status.Running, worker.RunningTask{Task: r.task, Run: r.number, Percent: 100})
 	}
