A status with 500 ends is not taken for a complete list

With more than 500 ends without an acknowledgement, for example while the store rejects the transactions, a worker lists only the first 500. A run whose end comes later is listed neither as running nor as ended. The owner removed it as lost and started its task again, on the same worker.

A status with 500 ends no longer removes runs, and no longer shows a new owner that it knows everything that former owners have started on the worker.

--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -6,6 +6,10 @@
 	"peridotcrank.dev/jobs/worker"
 )
 
+// maxListedEnds is the maximum number of ends in a status. A status with that many may
+// leave further ends out until earlier ones are acknowledged.
+const maxListedEnds = 500
+
 // applyStatus reconciles the state of a worker with a status that it reported. sent is
 // the logical time at which the request for the status was sent.
 //
@@ -35,16 +39,24 @@
 			s.applyRunningTask(w, key, r)
 		}
 	}
+	if len(status.EndedRuns) < maxListedEnds {
+		s.removeUnlistedRuns(w, sent, listed)
+		s.markAccountedFor(w)
+	}
+	s.stopUncertainStarts(w, sent)
+	s.schedulePlacement()
+	s.flush()
+}
+
+// removeUnlistedRuns removes the runs that a worker's complete status lists neither as
+// running nor as ended. An order that was answered before the request for the status was
+// sent is reflected in it.
+func (s *Shard) removeUnlistedRuns(w *workerState, sent logicalTime, listed map[runKey]bool) {
 	for key, a := range w.attempts {
-		// An order that was answered before the request was sent is reflected in the
-		// status.
 		if !listed[key] && a.answeredAt > 0 && a.answeredAt < sent {
 			s.removeAttempt(a)
 		}
 	}
-	s.stopUncertainStarts(w, sent)
-	s.schedulePlacement()
-	s.flush()
 }
 
 // applyRunningTask applies a run that a worker's status lists as running. A run that
--- a/jobs/shard/runends_test.go
+++ b/jobs/shard/runends_test.go
@@ -276,6 +276,38 @@
 	})
 }
 
+// Guards against runs that count as lost because a status lists no more than 500 ends.
+func TestMoreEndsThanAStatusLists(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover %t", takeover), func(t *testing.T) {
+			onFakeTime(t, func(r *rig) { runMoreEndsThanListed(r, takeover) })
+		})
+	}
+}
+
+func runMoreEndsThanListed(r *rig, takeover bool) {
+	const tasks = maxListedEnds + 150
+	r.addWorkers(1)
+	r.workerInfos[0].Capacity = job.Resources{CPU: tasks * 1000, MemoryMB: tasks * 100}
+	r.fleet.Add(r.workerInfos[0])
+	o := r.startOwner()
+	time.Sleep(time.Second)
+	assert.Equal(r.t, r.submit(o, simpleJob(1, tasks)).Code, OK)
+	time.Sleep(500 * time.Millisecond)
+	r.store.SetFault(func(rows.Tx) rowstest.Fault { return rowstest.Rejected })
+	time.Sleep(time.Second)
+	if takeover {
+		r.callOnLoop(o.Stop)
+		o = r.startOwner()
+	}
+	time.Sleep(longerThanLease)
+	r.store.SetFault(nil)
+	r.awaitState(o, 1, job.Completed, 20*time.Second)
+	for i := range tasks {
+		assert.Equal(r.t, r.fleet.Starts(job.TaskRef{Job: testJobID(1), Index: i}), 1, "task %d", i)
+	}
+}
+
 // Guards against an end that is acknowledged before the transaction with its job, when more
 // jobs change at a time than a transaction holds and the rows take several pages.
 func TestTakeoverAfterPartOfTheEndsIsStored(t *testing.T) {
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -275,7 +275,6 @@
 	}
 	w.updateClock(status.ClockTime, s.opts.Clock())
 	s.applyStatus(w, sent, status)
-	s.markAccountedFor(w)
 	s.sendHold(w)
 	if first {
 		s.schedulePlacement()
