Ends of runs are applied in the order of their numbers

What callers saw: nothing recorded. The protocol does not state the order in which a status lists ends.

Cause: an end with a number below the last applied one is skipped. If a status listed end 2 before end 1, end 1 was skipped, and the acknowledgement of end 2 made the worker forget it.

Evidence: TestEndsListedOutOfOrder, which failed before the change with the job not ended.

--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -1,6 +1,9 @@
 package shard
 
 import (
+	"cmp"
+	"slices"
+
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/worker"
@@ -24,6 +27,7 @@
 	sameClock := status.ClockTime == w.lastStatusClock
 	s.noteStatus(w, status.ClockTime)
 	w.lastStatusClock = status.ClockTime
+	slices.SortFunc(status.EndedRuns, func(a, b worker.RunEnd) int { return cmp.Compare(a.Number, b.Number) })
 	for _, end := range status.EndedRuns {
 		if end.Number <= w.lastAppliedEnd {
 			continue
--- a/jobs/shard/runends_test.go
+++ b/jobs/shard/runends_test.go
@@ -308,6 +308,29 @@
 	}
 }
 
+// Guards against an end that is skipped and acknowledged because a status lists a later one
+// before it.
+func TestEndsListedOutOfOrder(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(1)
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		assert.Equal(t, r.submit(o, simpleJob(1, 2)).Code, OK)
+		time.Sleep(100 * time.Millisecond)
+		r.callOnLoop(func() {
+			w := o.workers["w0"]
+			var ends []worker.RunEnd
+			for key := range w.attempts {
+				ends = append(ends, worker.RunEnd{Task: key.task, Run: key.run, Outcome: worker.Done})
+			}
+			assert.Equal(t, len(ends), 2)
+			ends[0].Number, ends[1].Number = 2, 1
+			o.applyStatus(w, o.nextLogicalTime(), worker.Status{ClockTime: w.clock + 1, StartedUnixMs: 1, EndedRuns: ends})
+			assert.Equal(t, o.jobs[testJobID(1)].outcome, job.Completed)
+		})
+	})
+}
+
 // Guards against an end that is acknowledged before the transaction with its job, when more
 // jobs change at a time than a transaction holds and the rows take several pages.
 func TestTakeoverAfterPartOfTheEndsIsStored(t *testing.T) {
