Events that tell why runs stop counting and tasks start again

run-removed, ends-missing, tasks-restarted, end-ignored, worker-wait-expired, ends-stored, head-claimed and worker-over-capacity; worker-reborn names both incarnations, shard-loaded counts what it restored. No decision changes.

The ends that a transaction stored are summed up in one line a second and shard. Each worker keeps its last 8 applied ends in memory; they are logged only with a fault.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -114,6 +114,15 @@
 	CapNeedUnmet     Code = 4581
 	JobHeldBackByCap Code = 4582
 	CapRowUnreadable Code = 4583
+
+	RunRemoved         Code = 4590
+	EndsMissing        Code = 4591
+	TasksRestarted     Code = 4592
+	EndIgnored         Code = 4593
+	WorkerWaitExpired  Code = 4594
+	EndsStored         Code = 4595
+	HeadClaimed        Code = 4596
+	WorkerOverCapacity Code = 4597
 )
 
 // Codes of the store, 5000 to 5999.
@@ -294,6 +303,14 @@
 	{CapNeedUnmet, "cap-need-unmet", LevelInfo, "For over a second, a pool has held less of a workspace's cap than it needs."},
 	{JobHeldBackByCap, "job-held-back-by-cap", LevelInfo, "The cap of its workspace has held back a job's next step for over a second."},
 	{CapRowUnreadable, "cap-row-unreadable", LevelWarning, "The division of a workspace's cap cannot be decoded; no task of the workspace starts until it is written again."},
+	{RunRemoved, "run-removed", LevelWarning, "Runs on a worker no longer count although no end of them was applied; each line gives the reason and names at most 14 runs."},
+	{EndsMissing, "ends-missing", LevelWarning, "A worker's list of ended runs skips numbers that were never applied; the ends of these runs are unknown."},
+	{TasksRestarted, "tasks-restarted", LevelInfo, "Tasks of a step are started again after a run that did not end as done or failed; the field former names that run, its worker and why it no longer counts."},
+	{EndIgnored, "end-ignored", LevelWarning, "The end of a run was not applied, because its job or task is unknown or unreadable, or the task was already done; it is acknowledged all the same."},
+	{WorkerWaitExpired, "worker-wait-expired", LevelWarning, "A worker of a former owner did not reply until all its leases had expired; its tasks can start on other workers."},
+	{EndsStored, "ends-stored", LevelInfo, "The ends of runs that were stored since the last such line, at most once a second for each shard: the number of the last transaction, and the highest stored number of each worker."},
+	{HeadClaimed, "head-claimed", LevelInfo, "This process claimed the head row of a shard; the fields name the former owner and its last transaction."},
+	{WorkerOverCapacity, "worker-over-capacity", LevelWarning, "The runs that count on a worker need more than its capacity."},
 
 	{StoreReachable, "store-reachable", LevelInfo, "The table service answers again."},
 	{StoreUnreachable, "store-unreachable", LevelAlarm, "The table service does not answer; nothing can be changed, requests are served."},
--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -20,6 +20,7 @@
 	sameClock := status.ClockTime == w.lastStatusClock
 	s.noteStatus(w, status.ClockTime)
 	w.lastStatusClock = status.ClockTime
+	s.checkEndNumbers(w, status.EndedRuns)
 	for _, end := range status.EndedRuns {
 		if end.Number <= w.lastAppliedEnd {
 			continue
@@ -35,13 +36,16 @@
 			s.applyRunningTask(w, key, r)
 		}
 	}
+	var unlisted []*attempt
 	for key, a := range w.attempts {
 		// An order that was answered before the request was sent is reflected in the
 		// status.
 		if !listed[key] && a.answeredAt > 0 && a.answeredAt < sent {
-			s.removeAttempt(a)
+			unlisted = append(unlisted, a)
 		}
 	}
+	s.removeUnlisted(w, unlisted, len(status.EndedRuns))
+	s.checkUse(w)
 	s.stopUncertainStarts(w, sent)
 	s.schedulePlacement()
 	s.flush()
@@ -104,6 +108,7 @@
 // applyRunEnd applies the end of a run to its attempt, task and job.
 func (s *Shard) applyRunEnd(w *workerState, end worker.RunEnd) {
 	w.lastRunEndedAt = s.opts.Clock()
+	s.traceRunEnd(w, end)
 	if a := w.attempts[runKey{end.Task, end.Run}]; a != nil {
 		a.noteCheckpoint(end.SavedCheckpoint, w.lastStatusClock)
 		if s.learning != nil {
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -303,6 +303,7 @@
 			s.sendHold(w)
 		}
 	}
+	s.noteEndsStored(b.appliedEnds)
 	s.schedulePlacement()
 	s.flush()
 }
@@ -406,6 +407,7 @@
 	if !result.Applied {
 		return nil, 0, fmt.Errorf("write head row: %w", errHeadChanged)
 	}
+	s.recordClaim(head, next)
 	return next, result.Version, nil
 }
 
@@ -428,9 +430,7 @@
 	s.inheritedLease = time.Duration(head.HoldMs) * time.Millisecond
 	s.restoreState(loaded)
 	s.active = true
-	s.recordEvent(eventlog.ShardLoaded, eventlog.Fields{
-		"fence": s.opts.Fence, "generation": head.Generation, "jobs": len(s.jobs), "workers": s.unaccountedWorkers,
-	})
+	s.recordLoaded(head.Generation)
 	s.registerWorkers()
 	s.runPeriodicChecks()
 }
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -51,6 +51,8 @@
 	// LearnedDurations replaces the regression over declared estimates by distributions
 	// that are learned from finished runs.
 	LearnedDurations bool
+	// Counts counts what an operator watches; nil for none.
+	Counts Counts
 	// PredictionObserved is called on the loop with the predicted and the actual duration
 	// of a task; nil for none.
 	PredictionObserved func(predicted, actual time.Duration)
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -11,7 +11,7 @@
 // startTask orders a worker to run a task and returns the new attempt.
 func (s *Shard) startTask(t *task, w *workerState, run int) *attempt {
 	now := s.opts.Clock()
-	a := &attempt{task: t, ref: t.ref(), run: run, worker: w, reserved: t.step.spec.ReservedResources(), sentAt: now, pace: fullPace, timing: t.resumedTiming()}
+	a := &attempt{task: t, ref: t.ref(), run: run, worker: w, reserved: t.step.spec.ReservedResources(), sentAt: now, pace: fullPace, timing: t.resumedTiming(), former: t.takeLostRun()}
 	t.addAttempt(a)
 	w.attempts[a.key()] = a
 	w.used = w.used.Plus(a.reserved)
--- a/jobs/shard/place.go
+++ b/jobs/shard/place.go
@@ -215,12 +215,17 @@
 	for _, a := range p.started {
 		fmt.Fprintf(&assignments, "%d/%d@%s ", a.ref.Index, a.run, a.worker.info.ID)
 	}
-	p.shard.recordEvent(eventlog.TasksStarted, eventlog.Fields{
+	fields := eventlog.Fields{
 		"job": step.job.job.ID, "queue": step.job.job.Queue, "step": p.started[0].ref.StepName(),
 		"tasks": strings.TrimSuffix(assignments.String(), " "), "left": step.pending,
 		"waited": (p.now - step.releasedAt).String(), "estimate": p.shard.durationPredictor(step.job.job.Queue, step.spec).Predict(step.spec.Estimate).String(),
 		"steps_waiting": p.waitingCount, "workers": len(p.workers), "fence": p.shard.opts.Fence,
-	})
+	}
+	if step.job.inherited {
+		fields["inherited"] = true
+	}
+	p.shard.recordEvent(eventlog.TasksStarted, fields)
+	p.shard.recordRestarts(step, p.started)
 	p.shard.noteStarted(step)
 	p.started = p.started[:0]
 }
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -60,6 +60,7 @@
 	// lastFailure is when a run of a queue with an attempts limit last failed, or 0.
 	lastFailure time.Duration
 	learning    *learning // nil unless durations are learned.
+	trace       shardTrace
 }
 
 // New returns a shard that is not active yet; Start activates it. It returns an error
@@ -68,6 +69,9 @@
 	if err := opts.Validate(); err != nil {
 		return nil, err
 	}
+	if opts.Counts == nil {
+		opts.Counts = noCounts{}
+	}
 	if opts.WallClock == nil {
 		opts.WallClock = time.Now
 	}
@@ -164,6 +168,7 @@
 	s.tickLearning(now)
 	s.releaseDelayedSteps()
 	s.recordExcess(now)
+	s.recordEndsStored(now)
 	for _, w := range s.workers {
 		s.checkWorker(w, now)
 	}
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -125,6 +125,7 @@
 	restartedAfterStall bool        // A stalled run of the task was stopped.
 	held                bool        // Its last attempt waits for a proven worker.
 	heldSince           time.Duration
+	lostRun             *lostRun // The last run if it no longer counts and no start has followed.
 	// notBefore is the earliest time of the next start, on the shard's clock.
 	notBefore time.Duration
 }
@@ -196,6 +197,7 @@
 	timing       runTiming
 	found        bool          // Not started by this owner.
 	countedIn    *workspaceCap // The cap in whose use the run is counted, or nil.
+	former       *lostRun      // The run that this one replaces, or nil.
 }
 
 func (a *attempt) key() runKey { return runKey{a.ref, a.run} }
@@ -245,6 +247,7 @@
 
 	pace          int // Pace of the best-effort tasks, in percent.
 	paceChangedAt time.Duration
+	trace         workerTrace
 }
 
 func (w *workerState) target() worker.Target {
--- /dev/null
+++ b/jobs/shard/trace_test.go
@@ -0,0 +1,253 @@
+package shard
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/worker"
+	"peridotcrank.dev/jobs/worker/workertest"
+)
+
+// eventRig is a rig whose owners record their events.
+type eventRig struct {
+	*rig
+	log *eventlog.Log
+}
+
+func withEvents(t *testing.T, workers int, test func(*eventRig)) {
+	onFakeTime(t, func(r *rig) {
+		log, err := eventlog.New(eventlog.Options{Process: "p", Writer: io.Discard, Capacity: 1 << 16})
+		assert.NilError(t, err)
+		r.recorder = log
+		r.addWorkers(workers)
+		test(&eventRig{r, log})
+	})
+}
+
+func (r *eventRig) events(code eventlog.Code) (found []eventlog.Event) {
+	for _, e := range r.log.Timeline(0, 1<<16) {
+		if e.Code == code {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// only returns the single event with a code, and fails the test if there is none or more.
+func (r *eventRig) only(code eventlog.Code) eventlog.Event {
+	r.t.Helper()
+	found := r.events(code)
+	assert.Equal(r.t, len(found), 1, "%v", r.log.Timeline(0, 1<<16))
+	return found[0]
+}
+
+// wantFields checks fields of an event by their text.
+func wantFields(t *testing.T, e eventlog.Event, want map[string]any) {
+	t.Helper()
+	for name, value := range want {
+		assert.Check(t, fmt.Sprint(e.Fields[name]) == fmt.Sprint(value), "field %s of %v, want %v", name, e, value)
+	}
+}
+
+// startHour starts an owner and a job with one task that runs for an hour.
+func (r *eventRig) startHour() *owner {
+	r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: time.Hour} })
+	o := r.startOwner()
+	time.Sleep(time.Second)
+	assert.Equal(r.t, r.submit(o, simpleJob(1, 1)).Code, OK)
+	time.Sleep(time.Second)
+	return o
+}
+
+var removalCases = []struct {
+	reason removalReason
+	remove func(*eventRig, *owner)
+}{
+	{notListed, func(r *eventRig, o *owner) {
+		o.ownsShard.Store(false) // The run still executes, so the task must not start again.
+		w := o.workers["w0"]
+		o.applyStatus(w, o.nextLogicalTime(), worker.Status{ClockTime: w.lastStatusClock + 1, StartedUnixMs: 1})
+	}},
+	{workerRestarted, func(r *eventRig, o *owner) {
+		r.workerInfos[0].StartedUnixMs = 9
+		r.fleet.Add(r.workerInfos[0])
+		o.SetWorkers(r.workerInfos)
+	}},
+	{leaseExpired, func(r *eventRig, o *owner) { r.fleet.SetPartitioned("w0", true) }},
+	{workerGone, func(r *eventRig, o *owner) {
+		r.fleet.Kill("w0")
+		o.removeWorker(o.workers["w0"], "replaced")
+	}},
+}
+
+// Guards against a run that stops counting for a reason that the log does not tell, and
+// against a second start whose line does not name the first one.
+func TestRemovedRunIsRecordedWithReason(t *testing.T) {
+	for _, c := range removalCases {
+		t.Run(string(c.reason), func(t *testing.T) {
+			withEvents(t, 1, func(r *eventRig) {
+				o := r.startHour()
+				r.callOnLoop(func() { c.remove(r, o) })
+				time.Sleep(2 * testLease)
+				run := job.TaskRef{Job: testJobID(1)}.String() + "/1"
+				wantFields(t, r.only(eventlog.RunRemoved), map[string]any{"worker": "w0", "born": 1, "reason": c.reason, "runs": run, "running": 1, "applied": 0})
+				if c.reason == notListed {
+					return
+				}
+				r.addWorkers(1)
+				r.callOnLoop(func() { o.SetWorkers(r.workerInfos) })
+				time.Sleep(time.Second)
+				wantFields(t, r.only(eventlog.TasksRestarted), map[string]any{"former": "0/1@w0:" + string(c.reason)})
+			})
+		})
+	}
+}
+
+// statusWithEnds returns a status of a worker with ends of unknown jobs.
+func statusWithEnds(w *workerState, numbers ...uint64) worker.Status {
+	status := worker.Status{ClockTime: w.lastStatusClock + 1, StartedUnixMs: w.info.StartedUnixMs}
+	for _, n := range numbers {
+		status.EndedRuns = append(status.EndedRuns, worker.RunEnd{Number: n, Task: job.TaskRef{Job: testJobID(77)}, Run: 1, Outcome: worker.Done})
+	}
+	return status
+}
+
+// Guards against ends that an acknowledgement made a worker forget before they were
+// listed, without a trace in the log, and against a false report by a new owner, whose
+// predecessor acknowledged the first ends.
+func TestMissingEndsAreRecorded(t *testing.T) {
+	withEvents(t, 1, func(r *eventRig) {
+		first := r.startOwner()
+		time.Sleep(time.Second)
+		r.callOnLoop(func() {
+			w := first.workers["w0"]
+			first.applyStatus(w, first.nextLogicalTime(), statusWithEnds(w, 3, 4))
+			first.applyStatus(w, first.nextLogicalTime(), statusWithEnds(w, 4, 5))
+			first.Stop()
+		})
+		wantFields(t, r.only(eventlog.EndsMissing), map[string]any{"worker": "w0", "born": 1, "expected": 1, "listed": 3, "applied": 0, "acked": 0})
+		wantFields(t, r.events(eventlog.EndIgnored)[0], map[string]any{"number": 3, "reason": "unknown-job", "outcome": "done"})
+		second := r.startOwner()
+		time.Sleep(time.Second)
+		r.callOnLoop(func() {
+			w := second.workers["w0"]
+			second.applyStatus(w, second.nextLogicalTime(), statusWithEnds(w, 6))
+		})
+		r.only(eventlog.EndsMissing)
+	})
+}
+
+// Guards against one fault that fills the log with the ends of unknown jobs, and against
+// ends left out of the log without a count.
+func TestIgnoredEndsAreBounded(t *testing.T) {
+	withEvents(t, 1, func(r *eventRig) {
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		apply := func(first, last uint64) {
+			w := o.workers["w0"]
+			var numbers []uint64
+			for n := first; n <= last; n++ {
+				numbers = append(numbers, n)
+			}
+			o.applyStatus(w, o.nextLogicalTime(), statusWithEnds(w, numbers...))
+		}
+		r.callOnLoop(func() { apply(1, 100) })
+		assert.Equal(t, len(r.events(eventlog.EndIgnored)), maxIgnoredEnds)
+		time.Sleep(ignoredEndsInterval)
+		r.callOnLoop(func() { apply(101, 101) })
+		wantFields(t, r.events(eventlog.EndIgnored)[maxIgnoredEnds], map[string]any{"left_out": 100 - maxIgnoredEnds})
+	})
+}
+
+// Guards against a restart of a worker whose line does not tell the incarnations apart,
+// or how far the ends of the former one were acknowledged.
+func TestRestartNamesBothIncarnations(t *testing.T) {
+	withEvents(t, 1, func(r *eventRig) {
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		assert.Equal(t, r.submit(o, simpleJob(1, 3)).Code, OK)
+		r.awaitState(o, 1, job.Completed, 10*time.Second)
+		time.Sleep(time.Second)
+		r.workerInfos[0].StartedUnixMs = 9
+		r.fleet.Add(r.workerInfos[0])
+		r.callOnLoop(func() { o.SetWorkers(r.workerInfos) })
+		wantFields(t, r.only(eventlog.WorkerRestarted), map[string]any{"born": 9, "former_born": 1, "applied": 3, "stored": 3, "acked": 3, "seen_in": seenInRegistry})
+	})
+}
+
+// Guards against a takeover whose lines do not tell which transaction of the former owner
+// was the last one, what was loaded, or which worker was not heard.
+func TestTakeoverIsTraced(t *testing.T) {
+	withEvents(t, 2, func(r *eventRig) {
+		r.fleet.SetRunPlan(func(task job.TaskRef, _ int) workertest.RunPlan {
+			if task.Step == 1 {
+				return workertest.RunPlan{Duration: time.Hour}
+			}
+			return workertest.RunPlan{Duration: time.Second}
+		})
+		first := r.startOwner()
+		time.Sleep(time.Second)
+		j := simpleJob(1, 8)
+		j.Steps = append(j.Steps, job.Step{Count: 1, Resources: job.Resources{CPU: 1000}, After: []int{0}, LongRunning: true})
+		assert.Equal(t, r.submit(first, j).Code, OK)
+		time.Sleep(4 * time.Second)
+		stored := r.events(eventlog.EndsStored)
+		assert.Assert(t, len(stored) > 0)
+		var sequence uint64
+		r.callOnLoop(func() { sequence = first.journal.sequence; first.Stop() })
+		r.fleet.Kill("w0")
+		r.startOwner()
+		time.Sleep(2 * testLease)
+		wantFields(t, r.events(eventlog.HeadClaimed)[1], map[string]any{"former_owner": "owner-1", "former_sequence": sequence, "generation": 2})
+		wantFields(t, r.events(eventlog.ShardLoaded)[1], map[string]any{"done_tasks": 8, "ended_jobs": 0, "jobs": 1})
+		wantFields(t, r.only(eventlog.WorkerWaitExpired), map[string]any{"worker": "w0", "registered": true})
+	})
+}
+
+// Guards against a worker over its capacity that the log does not mention, or mentions
+// with every status.
+func TestWorkerOverCapacityIsRecordedOnce(t *testing.T) {
+	withEvents(t, 1, func(r *eventRig) {
+		o := r.startHour()
+		r.callOnLoop(func() {
+			w := o.workers["w0"]
+			w.info.Capacity.CPU = 500
+			o.applyStatus(w, 0, worker.Status{ClockTime: w.lastStatusClock, StartedUnixMs: 1})
+			o.applyStatus(w, 0, worker.Status{ClockTime: w.lastStatusClock, StartedUnixMs: 1})
+		})
+		wantFields(t, r.only(eventlog.WorkerOverCapacity), map[string]any{"used_cpu": 1000, "capacity_cpu": 500, "runs": 1, "found": 0})
+	})
+}
+
+// Guards against events for diagnosis that grow with the load: without faults, only the
+// summary of stored ends is recorded, at most once a second.
+func TestTraceVolumeWithoutFaults(t *testing.T) {
+	withEvents(t, 10, func(r *eventRig) {
+		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 300 * time.Millisecond} })
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		began := time.Now()
+		const jobs = 300
+		for n := range jobs {
+			assert.Equal(t, r.submit(o, simpleJob(n, 4)).Code, OK)
+			time.Sleep(90 * time.Millisecond)
+		}
+		r.awaitState(o, jobs-1, job.Completed, 10*time.Second)
+		seconds := time.Since(began).Seconds()
+		counts := map[string]int{}
+		for _, e := range r.log.Timeline(0, 1<<16) {
+			counts[e.Name]++
+		}
+		t.Logf("%d events in %.0f s: %v", r.log.Recorded(), seconds, counts)
+		assert.Assert(t, float64(counts["ends-stored"]) <= seconds+1)
+		for _, code := range []eventlog.Code{eventlog.RunRemoved, eventlog.EndsMissing, eventlog.TasksRestarted, eventlog.EndIgnored, eventlog.WorkerWaitExpired, eventlog.WorkerOverCapacity} {
+			assert.Equal(t, len(r.events(code)), 0)
+		}
+	})
+}
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"peridotcrank.dev/eventlog"
@@ -43,10 +45,11 @@
 	if w == nil {
 		w = s.addWorker(info)
 		w.accountedFor = true // A worker that is not in the rows was never used by a former owner.
+		w.trace.knownFromFirstEnd = true
 		s.stopUnansweredStarts(w)
 	}
 	if w.info.StartedUnixMs != 0 && info.StartedUnixMs > w.info.StartedUnixMs {
-		w = s.replaceRestartedWorker(w, info.StartedUnixMs)
+		w = s.replaceRestartedWorker(w, info.StartedUnixMs, seenInRegistry)
 	}
 	w.info, w.registered = info, true
 	s.queueWorkerRow(w)
@@ -84,12 +87,13 @@
 // replaceRestartedWorker replaces the state of a worker by that of its next
 // incarnation. Calls and transactions in flight keep their reference to the former
 // state.
-func (s *Shard) replaceRestartedWorker(former *workerState, born int64) *workerState {
-	s.recordEvent(eventlog.WorkerRestarted, eventlog.Fields{"worker": former.info.ID, "runs": len(former.attempts)})
-	s.removeAttempts(former)
+func (s *Shard) replaceRestartedWorker(former *workerState, born int64, seenIn restartEvidence) *workerState {
+	s.recordRestart(former, born, seenIn)
+	s.removeAttempts(former, workerRestarted)
 	s.markAccountedFor(former)
 	w := s.addWorker(former.info)
 	w.info.StartedUnixMs = born
+	w.trace = traceAfterRestart(former, seenIn)
 	w.registered, w.accountedFor, w.vacateUntil = former.registered, true, former.vacateUntil
 	w.rowQueued = true
 	s.journal.workerRows = append(s.journal.workerRows, w)
@@ -135,10 +139,8 @@
 	}
 }
 
-func (s *Shard) removeAttempts(w *workerState) {
-	for _, a := range w.attempts {
-		s.removeAttempt(a)
-	}
+func (s *Shard) removeAttempts(w *workerState, reason removalReason) {
+	s.removeRuns(w, slices.Collect(maps.Values(w.attempts)), reason, nil)
 }
 
 // markAccountedFor marks that this owner knows everything that former owners may have
@@ -157,7 +159,7 @@
 		return
 	}
 	s.recordEvent(eventlog.WorkerGone, eventlog.Fields{"worker": w.info.ID, "reason": reason, "runs": len(w.attempts)})
-	s.removeAttempts(w)
+	s.removeAttempts(w, workerGone)
 	s.markAccountedFor(w)
 	delete(s.workers, w.info.ID)
 	s.deleteWorkerRow(w.info.ID)
@@ -175,6 +177,7 @@
 		return // When the commit in flight completes, it sends a hold that acknowledges the ends.
 	}
 	order := worker.Hold{Fence: s.opts.Fence, AckedUpTo: w.lastCommittedEnd}
+	w.trace.noteAcknowledged(order.AckedUpTo)
 	// A worker that did not reply is queried without renewing its lease. It might
 	// receive the renewal although its reply is lost, which would delay the restart of
 	// its tasks on other workers.
@@ -225,7 +228,7 @@
 			return
 		}
 		s.recordEvent(eventlog.WorkerLeasePassed, eventlog.Fields{"worker": w.info.ID, "runs": len(w.attempts)})
-		s.removeAttempts(w)
+		s.removeAttempts(w, leaseExpired)
 		s.schedulePlacement()
 	})
 }
@@ -237,6 +240,7 @@
 		return false
 	}
 	sent, to, order := s.nextLogicalTime(), w.target(), worker.Hold{Fence: s.opts.Fence, AckedUpTo: w.lastCommittedEnd}
+	w.trace.noteAcknowledged(order.AckedUpTo)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
@@ -264,7 +268,7 @@
 	}
 	w.failedHolds = 0
 	if status.StartedUnixMs != 0 && w.info.StartedUnixMs != 0 && status.StartedUnixMs != w.info.StartedUnixMs {
-		w = s.replaceRestartedWorker(w, status.StartedUnixMs)
+		w = s.replaceRestartedWorker(w, status.StartedUnixMs, seenInReply)
 	}
 	first := w.clock == 0
 	if first {
@@ -313,9 +317,10 @@
 		s.confirmLeaseExpiry(w)
 	}
 	if w.failedHolds > 0 && w.clock == 0 && (!w.registered || now > w.knownSince+maxOrderDelay+s.opts.LeaseDuration) {
-		s.removeAttempts(w) // The starts were not answered and can no longer run.
+		s.removeAttempts(w, neverAnswered) // The starts were not answered and can no longer run.
 	}
 	if !w.accountedFor && now > s.ownerSince+time.Duration(float64(s.inheritedLease)/minClockRate)+leaseMargin {
+		s.recordWaitExpired(w, now)
 		s.markAccountedFor(w)
 	}
 	if s.registryRead && !w.registered && w.failedHolds > 0 && w.accountedFor && len(w.attempts) == 0 {
--- a/peridotcrank/cli/explain.go
+++ b/peridotcrank/cli/explain.go
@@ -106,7 +106,9 @@
 var contextEvents = map[string]string{
 	"shard-acquired": "shard", "shard-loaded": "shard", "shard-lost": "shard", "shard-released": "shard",
 	"worker-gone": "worker", "worker-reborn": "worker", "worker-unreachable": "worker", "worker-lease-passed": "worker",
-	"cap-reached": "workspace", "cap-need-unmet": "workspace", "cap-row-unreadable": "workspace",
+	"run-removed": "worker", "ends-missing": "worker", "worker-over-capacity": "worker", "worker-wait-expired": "worker",
+	"head-claimed": "shard",
+	"cap-reached":  "workspace", "cap-need-unmet": "workspace", "cap-row-unreadable": "workspace",
 }
 
 func relevantLines(lines []logLine, id string) (relevant []logLine) {
