Trace: leave out ends listed again after a takeover, and runs that are being stopped

The events also carry the fence and whether the process may act, since a former owner records them too.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -310,7 +310,7 @@
 	{WorkerWaitExpired, "worker-wait-expired", LevelWarning, "A worker of a former owner did not reply until all its leases had expired; its tasks can start on other workers."},
 	{EndsStored, "ends-stored", LevelInfo, "The ends of runs that were stored since the last such line, at most once a second for each shard: the number of the last transaction, and the highest stored number of each worker."},
 	{HeadClaimed, "head-claimed", LevelInfo, "This process claimed the head row of a shard; the fields name the former owner and its last transaction."},
-	{WorkerOverCapacity, "worker-over-capacity", LevelWarning, "The runs that count on a worker need more than its capacity."},
+	{WorkerOverCapacity, "worker-over-capacity", LevelWarning, "The runs that execute on a worker need more than its capacity."},
 
 	{StoreReachable, "store-reachable", LevelInfo, "The table service answers again."},
 	{StoreUnreachable, "store-unreachable", LevelAlarm, "The table service does not answer; nothing can be changed, requests are served."},
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -125,6 +125,7 @@
 	restartedAfterStall bool        // A stalled run of the task was stopped.
 	held                bool        // Its last attempt waits for a proven worker.
 	heldSince           time.Duration
+	doneRun             int      // The run whose end made the task done; 0 if it was done before this owner.
 	lostRun             *lostRun // The last run if it no longer counts and no start has followed.
 	// notBefore is the earliest time of the next start, on the shard's clock.
 	notBefore time.Duration
--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -149,11 +149,12 @@
 }
 
 // workerFields returns the fields that identify an incarnation of a worker and how far
-// its ends were applied, stored and acknowledged.
-func workerFields(w *workerState) eventlog.Fields {
+// its ends were applied, stored and acknowledged, and whether this process may act for the
+// shard.
+func (s *Shard) workerFields(w *workerState) eventlog.Fields {
 	fields := eventlog.Fields{
 		"worker": w.info.ID, "born": w.info.StartedUnixMs, "clock": w.lastStatusClock.Milliseconds(),
-		"applied": w.lastAppliedEnd, "stored": w.lastCommittedEnd, "acked": w.trace.acked,
+		"fence": s.opts.Fence, "right": s.canAct(), "applied": w.lastAppliedEnd, "stored": w.lastCommittedEnd, "acked": w.trace.acked,
 	}
 	if w.trace.ackedBeforeRestart > 0 {
 		fields["acked_before_restart"] = w.trace.ackedBeforeRestart
@@ -188,7 +189,7 @@
 		names = append(names, fmt.Sprintf("%v/%d", a.ref, a.run))
 		count[a.phase]++
 	}
-	fields := workerFields(w)
+	fields := s.workerFields(w)
 	fields["reason"], fields["runs"] = string(reason), strings.Join(names, " ")
 	fields["starting"], fields["running"], fields["stopping"] = count[starting], count[running], count[stopping]
 	if reason == notListed {
@@ -217,31 +218,48 @@
 
 func (s *Shard) recordMissingEnds(w *workerState, expected, listed uint64) {
 	s.opts.Counts.CountMissingEnds(listed - expected)
-	fields := workerFields(w)
+	fields := s.workerFields(w)
 	fields["expected"], fields["listed"], fields["recent_ends"] = expected, listed, w.trace.recentText()
 	s.recordEvent(eventlog.EndsMissing, fields)
 }
 
-// checkUse records when the runs that count on a worker begin to exceed its capacity.
+// checkUse records when the runs that execute on a worker begin to exceed its capacity.
+// Runs that are being stopped are left out, since they may never have begun.
 func (s *Shard) checkUse(w *workerState) {
-	capacityKnown := w.info.Capacity != (job.Resources{}) // A worker in the rows has none before it is registered.
-	over := capacityKnown && !w.used.Fits(w.info.Capacity)
-	if over && !w.trace.overCapacity {
-		found := 0
-		for _, a := range w.attempts {
-			if a.found {
-				found++
-			}
+	// A worker in the rows has no capacity before it is registered.
+	if w.used.Fits(w.info.Capacity) || w.info.Capacity == (job.Resources{}) {
+		w.trace.overCapacity = false
+		return
+	}
+	var used job.Resources
+	runs, found := 0, 0
+	for _, a := range w.attempts {
+		if a.phase != running {
+			continue
 		}
-		fields := workerFields(w)
-		fields["runs"], fields["found"] = len(w.attempts), found
-		fields["used_cpu"], fields["capacity_cpu"] = w.used.CPU, w.info.Capacity.CPU
-		fields["used_memory_mb"], fields["capacity_memory_mb"] = w.used.MemoryMB, w.info.Capacity.MemoryMB
-		s.recordEvent(eventlog.WorkerOverCapacity, fields)
+		used, runs = used.Plus(a.reserved), runs+1
+		if a.found {
+			found++
+		}
+	}
+	over := !used.Fits(w.info.Capacity)
+	if over && !w.trace.overCapacity {
+		s.recordOverCapacity(w, used, runs, found)
 	}
 	w.trace.overCapacity = over
 }
 
+// recordOverCapacity records that a worker executes runs that need more than its
+// capacity. found is the number of those that this owner did not start.
+func (s *Shard) recordOverCapacity(w *workerState, used job.Resources, runs, found int) {
+	fields := s.workerFields(w)
+	fields["runs"], fields["found"] = runs, found
+	fields["used_cpu"], fields["capacity_cpu"] = used.CPU, w.info.Capacity.CPU
+	fields["used_memory_mb"], fields["capacity_memory_mb"] = used.MemoryMB, w.info.Capacity.MemoryMB
+	fields["used_gpu"], fields["capacity_gpu"] = used.GPU, w.info.Capacity.GPU
+	s.recordEvent(eventlog.WorkerOverCapacity, fields)
+}
+
 // traceRunEnd keeps the end of a run for later events, before its effects are applied.
 func (s *Shard) traceRunEnd(w *workerState, end worker.RunEnd) {
 	w.trace.noteApplied(end)
@@ -262,11 +280,14 @@
 	case t == nil:
 		s.recordIgnoredEnd(w, end, "unknown-task")
 	case t.done:
-		// Gangs and speculative runs have several runs of a task by design.
-		if end.Outcome == worker.Done && !t.step.spec.Gang && !t.step.spec.Speculative {
+		// Gangs and speculative runs have several runs of a task by design. A worker lists
+		// an end again that a former owner stored and did not acknowledge.
+		if end.Outcome == worker.Done && t.doneRun != 0 && end.Run != t.doneRun && !t.step.spec.Gang && !t.step.spec.Speculative {
 			s.recordIgnoredEnd(w, end, "task-done")
 		}
-	case end.Outcome == worker.Done || end.Outcome == worker.Failed:
+	case end.Outcome == worker.Done:
+		t.lostRun, t.doneRun = nil, end.Run
+	case end.Outcome == worker.Failed:
 		t.lostRun = nil
 	default:
 		t.lostRun = &lostRun{end.Run, w.info.ID, end.Outcome.String()}
@@ -285,7 +306,7 @@
 		s.trace.ignoredLeftOut++
 		return
 	}
-	fields := workerFields(w)
+	fields := s.workerFields(w)
 	fields["number"], fields["task"], fields["run"] = end.Number, end.Task.String(), end.Run
 	fields["outcome"], fields["reason"], fields["left_out"] = end.Outcome.String(), reason, s.trace.ignoredLeftOut
 	s.trace.ignoredLeftOut = 0
@@ -321,7 +342,7 @@
 // recordRestart records that a worker has restarted.
 func (s *Shard) recordRestart(former *workerState, born int64, seenIn restartEvidence) {
 	s.opts.Counts.CountWorkerRestart(string(seenIn))
-	fields := workerFields(former)
+	fields := s.workerFields(former)
 	fields["born"], fields["former_born"], fields["seen_in"] = born, former.info.StartedUnixMs, string(seenIn)
 	fields["runs"], fields["former_cpu"] = len(former.attempts), former.info.Capacity.CPU
 	s.recordEvent(eventlog.WorkerRestarted, fields)
@@ -329,7 +350,7 @@
 
 // recordWaitExpired records that a worker counts as accounted for without a reply.
 func (s *Shard) recordWaitExpired(w *workerState, now time.Duration) {
-	fields := workerFields(w)
+	fields := s.workerFields(w)
 	fields["waited"], fields["registered"], fields["failed_holds"] = (now - s.ownerSince).String(), w.registered, w.failedHolds
 	s.recordEvent(eventlog.WorkerWaitExpired, fields)
 }
