--- a/eventlog/metrics/metrics.go
+++ b/eventlog/metrics/metrics.go
@@ -50,6 +50,7 @@
 	peerMessages *labelledCounter
 	rejections   *labelledCounter
 	excessJobs   *labelledCounter
+	runs         runCounters
 	jobCalls     *latencyHistogram
 	workerOrders *latencyHistogram
 	storeCalls   *latencyHistogram
@@ -115,7 +116,7 @@
 }
 
 func (m *Metrics) createInstruments(meter metric.Meter) error {
-	var errs [8]error
+	var errs [9]error
 	m.requests, errs[0] = meter.Int64Counter("requests", metric.WithDescription("Callers' requests by service and outcome."))
 	m.latency, errs[1] = meter.Float64Histogram("request.duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from the arrival of a request to its answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
@@ -125,6 +126,7 @@
 	errs[5] = m.createGauges(meter)
 	errs[6] = m.createLatencyHistograms(meter)
 	errs[7] = m.createExcessCounter(meter)
+	errs[8] = m.createRunCounters(meter)
 	return errors.Join(errs[:]...)
 }
 
--- a/eventlog/metrics/metrics_test.go
+++ b/eventlog/metrics/metrics_test.go
@@ -37,6 +37,10 @@
 	m.TimeStoreCall("commit", "applied", 4*time.Millisecond)
 	m.ObserveDurationRatio(0.8)
 	m.CountExcessJob("search", "refused-late")
+	m.CountRemovedRun("not-listed")
+	m.CountRestartedTask("not-listed")
+	m.CountWorkerRestart("reply")
+	m.CountMissingEnds(3)
 	assert.NilError(t, m.ObserveWorkspaces(func() []WorkspaceJobs {
 		return []WorkspaceJobs{{Workspace: "search", Running: 3, Waiting: 2, Excess: 1}}
 	}))
--- a/jobs/shard/trace_test.go
+++ b/jobs/shard/trace_test.go
@@ -17,7 +17,8 @@
 // eventRig is a rig whose owners record their events.
 type eventRig struct {
 	*rig
-	log *eventlog.Log
+	log    *eventlog.Log
+	counts counts // Of the owner that startHour started.
 }
 
 func withEvents(t *testing.T, workers int, test func(*eventRig)) {
@@ -26,7 +27,7 @@
 		assert.NilError(t, err)
 		r.recorder = log
 		r.addWorkers(workers)
-		test(&eventRig{r, log})
+		test(&eventRig{r, log, counts{}})
 	})
 }
 
@@ -55,6 +56,14 @@
 	}
 }
 
+// counts counts by kind and label.
+type counts map[string]int
+
+func (c counts) CountRemovedRun(reason string)    { c["removed "+reason]++ }
+func (c counts) CountMissingEnds(n uint64)        { c["missing"] += int(n) }
+func (c counts) CountRestartedTask(reason string) { c["task "+reason]++ }
+func (c counts) CountWorkerRestart(seenIn string) { c["worker "+seenIn]++ }
+
 // startHour starts an owner and a job with one task that runs for an hour.
 func (r *eventRig) startHour() *owner {
 	r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: time.Hour} })
@@ -62,6 +71,7 @@
 	time.Sleep(time.Second)
 	assert.Equal(r.t, r.submit(o, simpleJob(1, 1)).Code, OK)
 	time.Sleep(time.Second)
+	r.callOnLoop(func() { o.opts.Counts = r.counts })
 	return o
 }
 
@@ -97,6 +107,7 @@
 				time.Sleep(2 * testLease)
 				run := job.TaskRef{Job: testJobID(1)}.String() + "/1"
 				wantFields(t, r.only(eventlog.RunRemoved), map[string]any{"worker": "w0", "born": 1, "reason": c.reason, "runs": run, "running": 1, "applied": 0})
+				assert.Equal(t, r.counts["removed "+string(c.reason)], 1)
 				if c.reason == notListed {
 					return
 				}
@@ -104,6 +115,7 @@
 				r.callOnLoop(func() { o.SetWorkers(r.workerInfos) })
 				time.Sleep(time.Second)
 				wantFields(t, r.only(eventlog.TasksRestarted), map[string]any{"former": "0/1@w0:" + string(c.reason)})
+				assert.Equal(t, r.counts["task "+string(c.reason)], 1)
 			})
 		})
 	}
@@ -126,12 +138,14 @@
 		first := r.startOwner()
 		time.Sleep(time.Second)
 		r.callOnLoop(func() {
+			first.opts.Counts = r.counts
 			w := first.workers["w0"]
 			first.applyStatus(w, first.nextLogicalTime(), statusWithEnds(w, 3, 4))
 			first.applyStatus(w, first.nextLogicalTime(), statusWithEnds(w, 4, 5))
 			first.Stop()
 		})
 		wantFields(t, r.only(eventlog.EndsMissing), map[string]any{"worker": "w0", "born": 1, "expected": 1, "listed": 3, "applied": 0, "acked": 0})
+		assert.Equal(t, r.counts["missing"], 2)
 		wantFields(t, r.events(eventlog.EndIgnored)[0], map[string]any{"number": 3, "reason": "unknown-job", "outcome": "done"})
 		second := r.startOwner()
 		time.Sleep(time.Second)
@@ -176,7 +190,8 @@
 		time.Sleep(time.Second)
 		r.workerInfos[0].StartedUnixMs = 9
 		r.fleet.Add(r.workerInfos[0])
-		r.callOnLoop(func() { o.SetWorkers(r.workerInfos) })
+		r.callOnLoop(func() { o.opts.Counts = r.counts; o.SetWorkers(r.workerInfos) })
+		assert.Equal(t, r.counts["worker registry"], 1)
 		wantFields(t, r.only(eventlog.WorkerRestarted), map[string]any{"born": 9, "former_born": 1, "applied": 3, "stored": 3, "acked": 3, "seen_in": seenInRegistry})
 	})
 }
--- a/peridotcrank/jobproc/ownership.go
+++ b/peridotcrank/jobproc/ownership.go
@@ -40,6 +40,7 @@
 		OwnsShard:        p.ownershipCheck(name, fence),
 		OnLost:           func() { p.cluster.Renounce(name, fence) },
 		OnExcess:         p.countExcess,
+		Counts:           p.metrics,
 		Clock:            p.clock.Now,
 		LearnedDurations: p.currentSettings().Scheduling.LearnedDurations, PredictionObserved: p.recordPrediction,
 		AttemptRecords: p.currentSettings().Scheduling.AttemptRecords,
