Log queue: keep a quarter for rare events, and report dropped lines by event

Refused calls filled the queue of a slow reader, and lines of takeovers, restarts and removed runs were dropped with the others. An event with at most 10 lines in this second and the last one now has a reserve. Dropped lines are reported by event, at most one line a second each, once the queue has room again; before, their total appeared only at the end of the process. The new test failed before the change: shard-lost lines were missing.

--- a/eventlog/async_test.go
+++ b/eventlog/async_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -39,3 +42,51 @@
 	assert.Equal(t, buffer.String(), "abc")
 	assert.Equal(t, w.Dropped(), uint64(0))
 }
+
+// gatedBuffer is a buffer whose writes wait until the gate is closed.
+type gatedBuffer struct {
+	bytes.Buffer
+	gate chan struct{}
+}
+
+func (b *gatedBuffer) Write(p []byte) (int, error) {
+	<-b.gate
+	return b.Buffer.Write(p)
+}
+
+// Guards against a takeover, a restart or a removed run that is missing in the log
+// because refused calls have filled the queue of a slow reader, second after second, and
+// against dropped lines that are not counted by their event.
+func TestFrequentEventsDoNotCrowdOutRareOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const queue, frequent, seconds = 400, 200, 30
+		out := &gatedBuffer{gate: make(chan struct{})}
+		w := NewAsyncWriter(out, queue)
+		log := newTestLog(t, Options{Process: "p", Writer: w, LinesPerSecond: 250, Clock: NewClock(nil)})
+		rare := []Code{ShardLost, WorkerRestarted, RunRemoved}
+		for range seconds {
+			for range frequent {
+				log.Record(CallNotServed, Fields{})
+			}
+			for _, code := range rare {
+				log.Record(code, Fields{})
+			}
+			time.Sleep(time.Second)
+		}
+		close(out.gate)
+		synctest.Wait()
+		for range 2 {
+			time.Sleep(time.Second)
+			log.Record(ShardLost, Fields{})
+		}
+		w.Flush(time.Second)
+		for _, code := range rare {
+			assert.Assert(t, strings.Count(out.String(), eventName(code)) >= seconds, "lines of %s", eventName(code))
+		}
+		written := strings.Count(out.String(), `"event":"call-not-served"`)
+		reports := strings.Count(out.String(), `"event":"log-lines-dropped"`)
+		assert.Equal(t, reports, 1, out.String())
+		assert.Assert(t, strings.Contains(out.String(), fmt.Sprintf(`"field.event":"call-not-served","field.lines":%d`, frequent*seconds-written)))
+		close(w.lines)
+	})
+}
--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -370,7 +370,7 @@
 	{ProcessPaused, "process-paused", LevelWarning, "The process was suspended for longer than the validity of its view."},
 	{ProcessFailed, "process-failed", LevelAlarm, "The entry process ends because of an internal fault."},
 	{MetricsListenFault, "metrics-listen-fault", LevelAlarm, "The listener for metrics failed."},
-	{LogLinesDropped, "log-lines-dropped", LevelWarning, "Log lines were dropped because their reader was too slow."},
+	{LogLinesDropped, "log-lines-dropped", LevelWarning, "Log lines were dropped because their reader was too slow; the fields give their number and event, or no event for all since the start."},
 	{LogLinesLimited, "log-lines-limited", LevelWarning, "The log lines of an event exceeded their rate limit; the fields name the event and the number of lines left out."},
 	{SettingsReloaded, "settings-reloaded", LevelInfo, "A changed settings file is in force, as far as it can be without a restart."},
 	{SettingsRefused, "settings-refused", LevelWarning, "A changed settings file has faults; the previous settings stay in force."},
--- a/eventlog/log.go
+++ b/eventlog/log.go
@@ -69,7 +69,7 @@
 	process  string
 	minLevel Level
 	clock    *Clock
-	logger   *logrus.Logger
+	output   *output
 
 	mu       sync.Mutex // Guards the fields below and the order of timestamps.
 	sequence uint64
@@ -94,7 +94,7 @@
 		process:  o.Process,
 		minLevel: o.MinLevel,
 		clock:    o.Clock,
-		logger:   newLogger(o.Writer, o.Format),
+		output:   newOutput(o.Writer, o.Format),
 		ring:     newRing(o.Capacity),
 		limiter:  newLimiter(o.LinesPerSecond),
 	}, nil
@@ -107,13 +107,18 @@
 // Record adds an event to the timeline and writes it as a log line, unless its
 // level or its line rate excludes it.
 func (l *Log) Record(code Code, fields Fields) {
-	for _, suppressed := range l.record(code, fields) {
+	at, limited := l.record(code, fields)
+	for _, suppressed := range limited {
 		l.record(LogLinesLimited, Fields{"event": eventName(suppressed.code), "lines": suppressed.lines})
 	}
+	for _, dropped := range l.output.takeDropped(at) {
+		l.record(LogLinesDropped, Fields{"event": eventName(dropped.code), "lines": dropped.lines})
+	}
 }
 
-// record returns the counts of suppressed lines that have to be reported now.
-func (l *Log) record(code Code, fields Fields) []suppressedLines {
+// record returns the time of the event, and the counts of suppressed lines that have to
+// be reported now.
+func (l *Log) record(code Code, fields Fields) (time.Time, []suppressedLines) {
 	definition, _ := Lookup(code)
 	event := Event{
 		Process: l.process,
@@ -128,11 +133,12 @@
 	l.ring.add(event)
 	physical, _ := Unpack(event.Time)
 	permitted, suppressed := l.limiter.permit(code, physical)
+	rare := l.limiter.isRare(code)
 	l.mu.Unlock()
 	if permitted && event.Level >= l.minLevel {
-		l.write(event, definition.Meaning)
+		l.write(event, definition.Meaning, rare)
 	}
-	return suppressed
+	return physical, suppressed
 }
 
 func eventName(code Code) string {
@@ -155,7 +161,7 @@
 	return l.sequence
 }
 
-func (l *Log) write(e Event, meaning string) {
+func (l *Log) write(e Event, meaning string, rare bool) {
 	fields := logrus.Fields{
 		"code": uint16(e.Code), "event": e.Name, "process": e.Process,
 		"sequence": e.Sequence, "logical_time": strconv.FormatUint(e.Time, 10),
@@ -164,19 +170,9 @@
 		fields["field."+key] = value
 	}
 	physical, _ := Unpack(e.Time)
-	l.logger.WithFields(fields).WithTime(physical).Log(logrusLevel(e.Level), meaning)
-}
-
-func newLogger(w io.Writer, f Format) *logrus.Logger {
-	logger := logrus.New()
-	logger.SetOutput(w)
-	logger.SetLevel(logrus.InfoLevel)
-	if f == FormatText {
-		logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
-	} else {
-		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	}
-	return logger
+	entry := l.output.logger.WithFields(fields).WithTime(physical)
+	entry.Level, entry.Message = logrusLevel(e.Level), meaning
+	l.output.write(e.Code, entry, rare)
 }
 
 func logrusLevel(l Level) logrus.Level {
