--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -93,8 +93,8 @@
 	knownFromFirstEnd bool
 	// acked is the highest number that was acknowledged to this incarnation.
 	acked uint64
-	// ackedBeforeRestart is the number that the call which revealed the restart may have
-	// acknowledged to this incarnation, although it counts ends of the former one.
+	// ackedBeforeRestart is the number that calls may have acknowledged to this incarnation
+	// before the restart was known, although it counts ends of the former one.
 	ackedBeforeRestart uint64
 	overCapacity       bool
 	// recent is a ring of the last applied ends.
@@ -131,23 +131,27 @@
 }
 
 // traceAfterRestart returns the trace of the next incarnation of a worker.
-func traceAfterRestart(former *workerState, seenIn restartEvidence) workerTrace {
-	t := workerTrace{knownFromFirstEnd: true}
-	if seenIn == seenInReply {
-		t.ackedBeforeRestart = former.trace.acked
-	}
-	return t
+func traceAfterRestart(former *workerState) workerTrace {
+	return workerTrace{knownFromFirstEnd: true, ackedBeforeRestart: former.trace.acked}
 }
 
 // shardTrace is what the log tells of a shard.
 type shardTrace struct {
-	storedWorkers  map[*workerState]struct{} // With ends stored since the last line.
+	storedWorkers  map[*workerState]struct{} // With ends stored since the last line that names them.
 	endsRecordedAt time.Duration
 	ignoredEnds    int // In the interval that began at ignoredSince.
 	ignoredSince   time.Duration
 	ignoredLeftOut int // Ignored ends that were not logged, until the next line.
 }
 
+// firstEnd returns the lowest number in a list of ended runs, or 0 if it is empty.
+func firstEnd(ends []worker.RunEnd) uint64 {
+	if len(ends) == 0 {
+		return 0
+	}
+	return ends[0].Number
+}
+
 // workerFields returns the fields that identify an incarnation of a worker and how far
 // its ends were applied, stored and acknowledged, and whether this process may act for the
 // shard.
@@ -396,7 +400,7 @@
 
 // recordEndsStored records the ends that were stored since the last such event, at most
 // once in each endsStoredInterval. One line for each transaction would be up to 28 lines
-// a second.
+// a second. Workers beyond maxWorkersPerLine follow in the next lines.
 func (s *Shard) recordEndsStored(now time.Duration) {
 	if len(s.trace.storedWorkers) == 0 || now-s.trace.endsRecordedAt < endsStoredInterval {
 		return
@@ -408,10 +412,10 @@
 			break
 		}
 		numbers = append(numbers, fmt.Sprintf("%s:%d", w.info.ID, w.lastCommittedEnd))
+		delete(s.trace.storedWorkers, w)
 	}
 	s.recordEvent(eventlog.EndsStored, eventlog.Fields{
 		"fence": s.opts.Fence, "generation": s.journal.generation, "sequence": s.journal.sequence,
-		"workers": len(s.trace.storedWorkers), "numbers": strings.Join(numbers, " "),
+		"numbers": strings.Join(numbers, " "), "left": len(s.trace.storedWorkers),
 	})
-	clear(s.trace.storedWorkers)
 }
--- a/jobs/shard/trace_test.go
+++ b/jobs/shard/trace_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -180,7 +181,8 @@
 }
 
 // Guards against a restart of a worker whose line does not tell the incarnations apart,
-// or how far the ends of the former one were acknowledged.
+// or how far the ends of the former one were acknowledged, and against an acknowledgement
+// across the restart that cannot be told from other lost ends.
 func TestRestartNamesBothIncarnations(t *testing.T) {
 	withEvents(t, 1, func(r *eventRig) {
 		o := r.startOwner()
@@ -193,6 +195,11 @@
 		r.callOnLoop(func() { o.opts.Counts = r.counts; o.SetWorkers(r.workerInfos) })
 		assert.Equal(t, r.counts["worker registry"], 1)
 		wantFields(t, r.only(eventlog.WorkerRestarted), map[string]any{"born": 9, "former_born": 1, "applied": 3, "stored": 3, "acked": 3, "seen_in": seenInRegistry})
+		r.callOnLoop(func() { // The new incarnation was told to forget its first 3 ends.
+			w := o.workers["w0"]
+			o.applyStatus(w, o.nextLogicalTime(), statusWithEnds(w, 4))
+		})
+		wantFields(t, r.only(eventlog.EndsMissing), map[string]any{"born": 9, "expected": 1, "listed": 4, "acked_before_restart": 3})
 	})
 }
 
@@ -247,6 +254,27 @@
 	})
 }
 
+// Guards against stored ends of which the log never tells, because more workers than fit
+// into a line ended runs within a second.
+func TestStoredEndsOfAllWorkersAreRecorded(t *testing.T) {
+	const workers = 2*maxWorkersPerLine + 1
+	withEvents(t, workers, func(r *eventRig) {
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		assert.Equal(t, r.submit(o, simpleJob(1, 4*workers)).Code, OK)
+		time.Sleep(8 * time.Second)
+		stored := map[string]bool{}
+		for _, e := range r.events(eventlog.EndsStored) {
+			for _, number := range strings.Fields(e.Fields["numbers"].(string)) {
+				stored[number] = true
+			}
+		}
+		for _, info := range r.workerInfos {
+			assert.Assert(t, stored[string(info.ID)+":4"], "%v", stored)
+		}
+	})
+}
+
 // Guards against events for diagnosis that grow with the load: without faults, only the
 // summary of stored ends is recorded, at most once a second.
 func TestTraceVolumeWithoutFaults(t *testing.T) {
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -93,7 +93,7 @@
 	s.markAccountedFor(former)
 	w := s.addWorker(former.info)
 	w.info.StartedUnixMs = born
-	w.trace = traceAfterRestart(former, seenIn)
+	w.trace = traceAfterRestart(former)
 	w.registered, w.accountedFor, w.vacateUntil = former.registered, true, former.vacateUntil
 	w.rowQueued = true
 	s.journal.workerRows = append(s.journal.workerRows, w)
@@ -275,6 +275,7 @@
 		s.recordEvent(eventlog.WorkerJoined, eventlog.Fields{
 			"worker": w.info.ID, "zone": w.info.Zone, "rack": w.rack(), "known_for": (s.opts.Clock() - w.knownSince).String(),
 			"age": s.opts.WallClock().Sub(time.UnixMilli(w.info.StartedUnixMs)).String(), "recorded": w.rowCommitted,
+			"born": w.info.StartedUnixMs, "first_end": firstEnd(status.EndedRuns), "runs_listed": len(status.Running),
 		})
 	}
 	w.updateClock(status.ClockTime, s.opts.Clock())
--- a/peridotcrank/cli/explain_test.go
+++ b/peridotcrank/cli/explain_test.go
@@ -27,6 +27,8 @@
 		logEntry(6, "p2", "shard-acquired", `"field.shard":"s"`),
 		logEntry(7, "p2", "worker-gone", `"field.worker":"w9"`),
 		logEntry(2, "p1", "job-accepted", `"field.job":"aa11","field.shard":"s"`),
+		logEntry(7, "p1", "ends-missing", `"field.worker":"w2"`),
+		logEntry(7, "p1", "run-removed", `"field.runs":"bb22.0.0.1/1 aa11.0.0.0/1","field.worker":"w3"`),
 		logEntry(8, "p2", "start-refused", `"field.task":"aa11.0.0.1","field.worker":"w2"`),
 	}, "\n")
 	var out bytes.Buffer
@@ -39,7 +41,7 @@
 		events = append(events, strings.Fields(line)[2])
 	}
 	assert.DeepEqual(t, events, []string{
-		"job-accepted", "tasks-started", "worker-gone", "shard-acquired", "start-refused", "job-ended",
+		"job-accepted", "tasks-started", "worker-gone", "shard-acquired", "ends-missing", "run-removed", "start-refused", "job-ended",
 	})
 	c = &explainCommand{app: a, in: strings.NewReader(log)}
 	c.Args.ID = "cc33"
