Trace: one file each for runs and ends; ends that need no row count as stored

Otherwise the first end that a new owner lists would look acknowledged and not stored after runs that were stopped. Only the first gap of a list of ended runs is recorded.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -308,7 +308,7 @@
 	{TasksRestarted, "tasks-restarted", LevelInfo, "Tasks of a step are started again after a run that did not end as done or failed; the field former names that run, its worker and why it no longer counts."},
 	{EndIgnored, "end-ignored", LevelWarning, "The end of a run was not applied, because its job or task is unknown or unreadable, or the task was already done; it is acknowledged all the same."},
 	{WorkerWaitExpired, "worker-wait-expired", LevelWarning, "A worker of a former owner did not reply until all its leases had expired; its tasks can start on other workers."},
-	{EndsStored, "ends-stored", LevelInfo, "The ends of runs that were stored since the last such line, at most once a second for each shard: the number of the last transaction, and the highest stored number of each worker."},
+	{EndsStored, "ends-stored", LevelInfo, "Up to which number the ends of workers are stored, or need no row; at most one line a second for each shard, with the number of its last transaction and up to 24 workers."},
 	{HeadClaimed, "head-claimed", LevelInfo, "This process claimed the head row of a shard; the fields name the former owner and its last transaction."},
 	{WorkerOverCapacity, "worker-over-capacity", LevelWarning, "The runs that execute on a worker need more than its capacity."},
 
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -118,6 +118,7 @@
 	for _, w := range s.workers {
 		if w.lastCommittedEnd < w.lastAppliedEnd {
 			w.lastCommittedEnd = w.lastAppliedEnd
+			s.noteEndsStored(w)
 			s.sendHold(w)
 		}
 	}
@@ -300,10 +301,10 @@
 	for w, number := range b.appliedEnds {
 		if number > w.lastCommittedEnd {
 			w.lastCommittedEnd = number
+			s.noteEndsStored(w)
 			s.sendHold(w)
 		}
 	}
-	s.noteEndsStored(b.appliedEnds)
 	s.schedulePlacement()
 	s.flush()
 }
--- /dev/null
+++ b/jobs/shard/traceends.go
@@ -0,0 +1,170 @@
+package shard
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/worker"
+)
+
+// This file traces the ends of runs: which were applied, stored, missing or ignored.
+
+const (
+	// maxWorkersPerLine bounds the workers in one line of stored ends.
+	maxWorkersPerLine = 24
+	// recentEnds is the number of applied ends that are kept for each worker.
+	recentEnds = 8
+	// endsStoredInterval is the minimum time between two lines of stored ends.
+	endsStoredInterval = time.Second
+	// maxIgnoredEnds is the number of ignored ends that are logged in each
+	// ignoredEndsInterval.
+	maxIgnoredEnds      = 10
+	ignoredEndsInterval = time.Second
+)
+
+type appliedEnd struct {
+	number  uint64
+	key     runKey
+	outcome worker.Outcome
+}
+
+func (e appliedEnd) String() string {
+	return fmt.Sprintf("%d:%v/%d:%v", e.number, e.key.task, e.key.run, e.outcome)
+}
+
+func (t *workerTrace) noteAcknowledged(number uint64) { t.acked = max(t.acked, number) }
+
+func (t *workerTrace) noteApplied(end worker.RunEnd) {
+	t.recent[t.recentNext] = appliedEnd{end.Number, runKey{end.Task, end.Run}, end.Outcome}
+	t.recentNext = (t.recentNext + 1) % recentEnds
+}
+
+// recentText returns the last applied ends, oldest first.
+func (t *workerTrace) recentText() string {
+	var texts []string
+	for i := range recentEnds {
+		if e := t.recent[(t.recentNext+i)%recentEnds]; e.number > 0 {
+			texts = append(texts, e.String())
+		}
+	}
+	return strings.Join(texts, " ")
+}
+
+// firstEnd returns the lowest number in a list of ended runs, or 0 if it is empty.
+func firstEnd(ends []worker.RunEnd) uint64 {
+	if len(ends) == 0 {
+		return 0
+	}
+	return ends[0].Number
+}
+
+// checkEndNumbers records the first gap in a list of ended runs. The first list that
+// an owner sees may begin at any number, since a former owner may have acknowledged
+// those before.
+func (s *Shard) checkEndNumbers(w *workerState, ends []worker.RunEnd) {
+	expected := w.lastAppliedEnd + 1
+	known := w.trace.knownFromFirstEnd || w.lastAppliedEnd > 0
+	for _, end := range ends {
+		if end.Number < expected {
+			continue
+		}
+		if known && end.Number > expected {
+			s.recordMissingEnds(w, expected, end.Number)
+			return
+		}
+		expected, known = end.Number+1, true
+	}
+}
+
+func (s *Shard) recordMissingEnds(w *workerState, expected, listed uint64) {
+	s.opts.Counts.CountMissingEnds(listed - expected)
+	fields := s.workerFields(w)
+	fields["expected"], fields["listed"], fields["recent_ends"] = expected, listed, w.trace.recentText()
+	s.recordEvent(eventlog.EndsMissing, fields)
+}
+
+// traceRunEnd keeps the end of a run for later events, before its effects are applied.
+func (s *Shard) traceRunEnd(w *workerState, end worker.RunEnd) {
+	w.trace.noteApplied(end)
+	js := s.jobs[end.Task.Job]
+	if js == nil {
+		if _, ok := s.unreadable[end.Task.Job]; ok {
+			s.recordIgnoredEnd(w, end, "unreadable-job")
+		} else if _, ok := s.ended[end.Task.Job]; !ok {
+			s.recordIgnoredEnd(w, end, "unknown-job")
+		}
+		return
+	}
+	if js.outcome != 0 {
+		return
+	}
+	t := js.task(end.Task)
+	switch {
+	case t == nil:
+		s.recordIgnoredEnd(w, end, "unknown-task")
+	case t.done:
+		// Gangs and speculative runs have several runs of a task by design. A worker lists
+		// an end again that a former owner stored and did not acknowledge.
+		if end.Outcome == worker.Done && t.doneRun != 0 && end.Run != t.doneRun && !t.step.spec.Gang && !t.step.spec.Speculative {
+			s.recordIgnoredEnd(w, end, "task-done")
+		}
+	case end.Outcome == worker.Done:
+		t.lostRun, t.doneRun = nil, end.Run
+	case end.Outcome == worker.Failed:
+		t.lostRun = nil
+	default:
+		t.lostRun = &lostRun{end.Run, w.info.ID, end.Outcome.String()}
+	}
+}
+
+// recordIgnoredEnd records an end that has no effect, at most maxIgnoredEnds times in
+// each ignoredEndsInterval.
+func (s *Shard) recordIgnoredEnd(w *workerState, end worker.RunEnd, reason string) {
+	now := s.opts.Clock()
+	if now-s.trace.ignoredSince >= ignoredEndsInterval {
+		s.trace.ignoredSince, s.trace.ignoredEnds = now, 0
+	}
+	s.trace.ignoredEnds++
+	if s.trace.ignoredEnds > maxIgnoredEnds {
+		s.trace.ignoredLeftOut++
+		return
+	}
+	fields := s.workerFields(w)
+	fields["number"], fields["task"], fields["run"] = end.Number, end.Task.String(), end.Run
+	fields["outcome"], fields["reason"], fields["left_out"] = end.Outcome.String(), reason, s.trace.ignoredLeftOut
+	s.trace.ignoredLeftOut = 0
+	s.recordEvent(eventlog.EndIgnored, fields)
+}
+
+// noteEndsStored keeps a worker for the next line of stored ends. Ends that change no row
+// count as stored.
+func (s *Shard) noteEndsStored(w *workerState) {
+	if s.trace.storedWorkers == nil {
+		s.trace.storedWorkers = map[*workerState]struct{}{}
+	}
+	s.trace.storedWorkers[w] = struct{}{}
+}
+
+// recordEndsStored records the ends that were stored since the last such event, at most
+// once in each endsStoredInterval. One line for each transaction would be up to 28 lines
+// a second. Workers beyond maxWorkersPerLine follow in the next lines.
+func (s *Shard) recordEndsStored(now time.Duration) {
+	if len(s.trace.storedWorkers) == 0 || now-s.trace.endsRecordedAt < endsStoredInterval {
+		return
+	}
+	s.trace.endsRecordedAt = now
+	var numbers []string
+	for w := range s.trace.storedWorkers {
+		if len(numbers) == maxWorkersPerLine {
+			break
+		}
+		numbers = append(numbers, fmt.Sprintf("%s:%d", w.info.ID, w.lastCommittedEnd))
+		delete(s.trace.storedWorkers, w)
+	}
+	s.recordEvent(eventlog.EndsStored, eventlog.Fields{
+		"fence": s.opts.Fence, "generation": s.journal.generation, "sequence": s.journal.sequence,
+		"numbers": strings.Join(numbers, " "), "left": len(s.trace.storedWorkers),
+	})
+}
--- /dev/null
+++ b/jobs/shard/traceruns.go
@@ -0,0 +1,148 @@
+package shard
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/worker"
+)
+
+// This file traces runs that stop counting, tasks that start again, and workers over
+// their capacity.
+
+const (
+	// maxRunsPerLine bounds the runs in one log line. More would exceed the length at
+	// which the log cuts a field.
+	maxRunsPerLine = 14
+	// maxRestartsPerLine is lower, since each entry also names a worker and a reason.
+	maxRestartsPerLine = 10
+)
+
+// removalReason says why a run was removed although no end of it was applied.
+type removalReason string
+
+const (
+	notListed       removalReason = "not-listed" // By a status requested after the order was answered.
+	workerRestarted removalReason = "worker-restarted"
+	leaseExpired    removalReason = "lease-expired"
+	workerGone      removalReason = "worker-gone"
+	neverAnswered   removalReason = "never-answered" // The worker has answered no call.
+)
+
+// lostRun is a run of a task that no longer counts although it did not end as done or
+// failed.
+type lostRun struct {
+	run    int
+	worker worker.ID
+	reason string // A [removalReason], or the outcome that the worker reported.
+}
+
+func (t *task) takeLostRun() *lostRun {
+	former := t.lostRun
+	t.lostRun = nil
+	return former
+}
+
+// removeUnlisted removes runs that a status does not list, which has the given number
+// of ended runs.
+func (s *Shard) removeUnlisted(w *workerState, runs []*attempt, endsListed int) {
+	s.removeRuns(w, runs, notListed, eventlog.Fields{"ends_listed": endsListed})
+}
+
+// removeRuns removes runs of a worker without an end, and records why.
+func (s *Shard) removeRuns(w *workerState, runs []*attempt, reason removalReason, details eventlog.Fields) {
+	for chunk := range slices.Chunk(runs, maxRunsPerLine) {
+		s.recordRemovedRuns(w, chunk, reason, details)
+	}
+	for _, a := range runs {
+		s.opts.Counts.CountRemovedRun(string(reason))
+		if a.task != nil && !a.task.done {
+			a.task.lostRun = &lostRun{a.run, w.info.ID, string(reason)}
+		}
+		s.removeAttempt(a)
+	}
+}
+
+func (s *Shard) recordRemovedRuns(w *workerState, runs []*attempt, reason removalReason, details eventlog.Fields) {
+	var names []string
+	var count [stopping + 1]int
+	for _, a := range runs {
+		names = append(names, fmt.Sprintf("%v/%d", a.ref, a.run))
+		count[a.phase]++
+	}
+	fields := s.workerFields(w)
+	fields["reason"], fields["runs"] = string(reason), strings.Join(names, " ")
+	fields["starting"], fields["running"], fields["stopping"] = count[starting], count[running], count[stopping]
+	if reason == notListed {
+		fields["recent_ends"] = w.trace.recentText()
+	}
+	maps.Copy(fields, details)
+	s.recordEvent(eventlog.RunRemoved, fields)
+}
+
+// checkUse records when the runs that execute on a worker begin to exceed its capacity.
+// Runs that are being stopped are left out, since they may never have begun.
+func (s *Shard) checkUse(w *workerState) {
+	// A worker in the rows has no capacity before it is registered.
+	if w.used.Fits(w.info.Capacity) || w.info.Capacity == (job.Resources{}) {
+		w.trace.overCapacity = false
+		return
+	}
+	var used job.Resources
+	runs, found := 0, 0
+	for _, a := range w.attempts {
+		if a.phase != running {
+			continue
+		}
+		used, runs = used.Plus(a.reserved), runs+1
+		if a.found {
+			found++
+		}
+	}
+	over := !used.Fits(w.info.Capacity)
+	if over && !w.trace.overCapacity {
+		s.recordOverCapacity(w, used, runs, found)
+	}
+	w.trace.overCapacity = over
+}
+
+// recordOverCapacity records that a worker executes runs that need more than its
+// capacity. found is the number of those that this owner did not start.
+func (s *Shard) recordOverCapacity(w *workerState, used job.Resources, runs, found int) {
+	fields := s.workerFields(w)
+	fields["runs"], fields["found"] = runs, found
+	fields["used_cpu"], fields["capacity_cpu"] = used.CPU, w.info.Capacity.CPU
+	fields["used_memory_mb"], fields["capacity_memory_mb"] = used.MemoryMB, w.info.Capacity.MemoryMB
+	fields["used_gpu"], fields["capacity_gpu"] = used.GPU, w.info.Capacity.GPU
+	s.recordEvent(eventlog.WorkerOverCapacity, fields)
+}
+
+// recordRestarts records the started runs that replace one that no longer counts.
+func (s *Shard) recordRestarts(step *stepState, started []*attempt) {
+	var restarted []*attempt
+	for _, a := range started {
+		if a.former != nil {
+			s.opts.Counts.CountRestartedTask(a.former.reason)
+			restarted = append(restarted, a)
+		}
+	}
+	for chunk := range slices.Chunk(restarted, maxRestartsPerLine) {
+		s.recordRestartedTasks(step, chunk)
+	}
+}
+
+func (s *Shard) recordRestartedTasks(step *stepState, restarted []*attempt) {
+	var tasks, former []string
+	for _, a := range restarted {
+		tasks = append(tasks, fmt.Sprintf("%d/%d@%s", a.ref.Index, a.run, a.worker.info.ID))
+		former = append(former, fmt.Sprintf("%d/%d@%s:%s", a.ref.Index, a.former.run, a.former.worker, a.former.reason))
+	}
+	s.recordEvent(eventlog.TasksRestarted, eventlog.Fields{
+		"job": step.job.job.ID, "step": restarted[0].ref.StepName(), "fence": s.opts.Fence,
+		"tasks": strings.Join(tasks, " "), "former": strings.Join(former, " "),
+	})
+}
