--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -196,9 +196,12 @@
 	pace         int     // Pace last confirmed by the worker, in percent.
 	paceInFlight bool
 	timing       runTiming
-	found        bool          // Not started by this owner.
-	countedIn    *workspaceCap // The cap in whose use the run is counted, or nil.
-	former       *lostRun      // The run that this one replaces, or nil.
+	found        bool // Not started by this owner.
+	// movedFrom is the incarnation to which the start was sent, if the worker has restarted
+	// since; nil otherwise.
+	movedFrom *workerState
+	countedIn *workspaceCap // The cap in whose use the run is counted, or nil.
+	former    *lostRun      // The run that this one replaces, or nil.
 }
 
 func (a *attempt) key() runKey { return runKey{a.ref, a.run} }
@@ -239,6 +242,7 @@
 	// lastStatusClock is the worker's clock in the last status that was applied.
 	lastStatusClock worker.ClockTime
 	lastStatusAt    time.Duration // When that status was applied.
+	statusArrivedAt time.Duration // When the last status arrived.
 	holdRepliedAt   time.Duration // When the last hold was answered.
 	// endWindow is how long before the clock of that status its ends may have happened.
 	endWindow time.Duration
--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -43,7 +43,7 @@
 	// knownFromFirstEnd is set if no former owner can have acknowledged ends of this
 	// incarnation.
 	knownFromFirstEnd bool
-	// acked is the highest number that was acknowledged to this incarnation.
+	// acked is the highest number that a hold to this incarnation acknowledged.
 	acked uint64
 	// ackedBeforeRestart is the number that calls may have acknowledged to this incarnation
 	// before the restart was known, although it counts ends of the former one.
@@ -56,7 +56,7 @@
 
 // traceAfterRestart returns the trace of the next incarnation of a worker.
 func traceAfterRestart(former *workerState) workerTrace {
-	return workerTrace{knownFromFirstEnd: true, ackedBeforeRestart: former.trace.acked}
+	return workerTrace{knownFromFirstEnd: former.accountedFor, ackedBeforeRestart: former.trace.acked}
 }
 
 // shardTrace is what the log tells of a shard.
--- a/jobs/shard/traceruns.go
+++ b/jobs/shard/traceruns.go
@@ -70,13 +70,18 @@
 func (s *Shard) recordRemovedRuns(w *workerState, runs []*attempt, reason removalReason, details eventlog.Fields) {
 	var names []string
 	var count [stopping + 1]int
+	moved := 0
 	for _, a := range runs {
+		if a.movedFrom != nil {
+			moved++
+		}
 		names = append(names, fmt.Sprintf("%v/%d", a.ref, a.run))
 		count[a.phase]++
 	}
 	fields := s.workerFields(w)
 	fields["reason"], fields["runs"] = string(reason), strings.Join(names, " ")
 	fields["starting"], fields["running"], fields["stopping"] = count[starting], count[running], count[stopping]
+	fields["moved"] = moved
 	if reason == notListed {
 		fields["recent_ends"] = w.trace.recentText()
 	}
