--- a/jobs/shard/trace_test.go
+++ b/jobs/shard/trace_test.go
@@ -15,11 +15,14 @@
 	"peridotcrank.dev/jobs/worker/workertest"
 )
 
+// unknownJob is the number of a job that is never submitted.
+const unknownJob = 77
+
 // eventRig is a rig whose owners record their events.
 type eventRig struct {
 	*rig
 	log    *eventlog.Log
-	counts counts // Of the owner that startHour started.
+	counts counts // Of the owners that startReady started.
 }
 
 func withEvents(t *testing.T, workers int, test func(*eventRig)) {
@@ -57,6 +60,14 @@
 	}
 }
 
+// startReady starts an owner and waits until it can start tasks.
+func (r *eventRig) startReady() *owner {
+	o := r.startOwner()
+	time.Sleep(time.Second)
+	r.callOnLoop(func() { o.opts.Counts = r.counts })
+	return o
+}
+
 // counts counts by kind and label.
 type counts map[string]int
 
@@ -74,11 +85,9 @@
 // startHour starts an owner and a job with one task that runs for an hour.
 func (r *eventRig) startHour() *owner {
 	r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: time.Hour} })
-	o := r.startOwner()
-	time.Sleep(time.Second)
+	o := r.startReady()
 	assert.Equal(r.t, r.submit(o, simpleJob(1, 1)).Code, OK)
 	time.Sleep(3 * time.Second) // The worker has listed the run.
-	r.callOnLoop(func() { o.opts.Counts = r.counts })
 	return o
 }
 
@@ -128,13 +137,34 @@
 	}
 }
 
-// statusWithEnds returns a status of a worker with ends of unknown jobs.
-func statusWithEnds(w *workerState, numbers ...uint64) worker.Status {
-	status := worker.Status{ClockTime: w.lastStatusClock + 1, StartedUnixMs: w.info.StartedUnixMs}
-	for _, n := range numbers {
-		status.EndedRuns = append(status.EndedRuns, worker.RunEnd{Number: n, Task: job.TaskRef{Job: testJobID(77)}, Run: 1, Outcome: worker.Done})
-	}
-	return status
+// Guards against a lost start order that looks like a run whose end is missing.
+func TestRunThatNeverBeganIsTold(t *testing.T) {
+	withEvents(t, 1, func(r *eventRig) {
+		lost := false
+		r.fleet.SetFault(func(_ worker.ID, order string) workertest.Fault {
+			if order != "start" || lost {
+				return workertest.NoFault
+			}
+			lost = true
+			return workertest.RequestLost
+		})
+		o := r.startReady()
+		assert.Equal(t, r.submit(o, simpleJob(1, 1)).Code, OK)
+		r.awaitState(o, 1, job.Completed, 10*time.Second)
+		wantFields(t, r.only(eventlog.RunRemoved), map[string]any{"reason": neverBegan, "stopping": 1, "starting": 0, "running": 0})
+	})
+}
+
+// applyEnds applies a status of w0 with ends of runs of a job.
+func (r *eventRig) applyEnds(o *owner, n int, numbers ...uint64) {
+	r.callOnLoop(func() {
+		w := o.workers["w0"]
+		status := worker.Status{ClockTime: w.lastStatusClock + 1, StartedUnixMs: w.info.StartedUnixMs}
+		for _, number := range numbers {
+			status.EndedRuns = append(status.EndedRuns, worker.RunEnd{Number: number, Task: job.TaskRef{Job: testJobID(n)}, Run: 1, Outcome: worker.Done})
+		}
+		o.applyStatus(w, o.nextLogicalTime(), status)
+	})
 }
 
 // Guards against ends that an acknowledgement made a worker forget before they were
@@ -142,24 +172,15 @@
 // predecessor acknowledged the first ends.
 func TestMissingEndsAreRecorded(t *testing.T) {
 	withEvents(t, 1, func(r *eventRig) {
-		first := r.startOwner()
-		time.Sleep(time.Second)
-		r.callOnLoop(func() {
-			first.opts.Counts = r.counts
-			w := first.workers["w0"]
-			first.applyStatus(w, first.nextLogicalTime(), statusWithEnds(w, 3, 4))
-			first.applyStatus(w, first.nextLogicalTime(), statusWithEnds(w, 4, 5))
-			first.Stop()
-		})
+		first := r.startReady()
+		r.applyEnds(first, unknownJob, 3, 4)
+		r.applyEnds(first, unknownJob, 4, 5)
+		r.callOnLoop(first.Stop)
 		wantFields(t, r.only(eventlog.EndsMissing), map[string]any{"worker": "w0", "born": 1, "expected": 1, "listed": 3, "applied": 0, "acked": 0})
 		assert.Equal(t, r.count("missing"), 2)
 		wantFields(t, r.events(eventlog.EndIgnored)[0], map[string]any{"number": 3, "reason": "unknown-job", "outcome": "done"})
-		second := r.startOwner()
-		time.Sleep(time.Second)
-		r.callOnLoop(func() {
-			w := second.workers["w0"]
-			second.applyStatus(w, second.nextLogicalTime(), statusWithEnds(w, 6))
-		})
+		second := r.startReady()
+		r.applyEnds(second, unknownJob, 6)
 		r.only(eventlog.EndsMissing)
 	})
 }
@@ -168,20 +189,13 @@
 // ends left out of the log without a count.
 func TestIgnoredEndsAreBounded(t *testing.T) {
 	withEvents(t, 1, func(r *eventRig) {
-		o := r.startOwner()
-		time.Sleep(time.Second)
-		apply := func(first, last uint64) {
-			w := o.workers["w0"]
-			var numbers []uint64
-			for n := first; n <= last; n++ {
-				numbers = append(numbers, n)
-			}
-			o.applyStatus(w, o.nextLogicalTime(), statusWithEnds(w, numbers...))
+		o := r.startReady()
+		for n := range uint64(100) {
+			r.applyEnds(o, unknownJob, n+1)
 		}
-		r.callOnLoop(func() { apply(1, 100) })
 		assert.Equal(t, len(r.events(eventlog.EndIgnored)), maxIgnoredEnds)
 		time.Sleep(ignoredEndsInterval)
-		r.callOnLoop(func() { apply(101, 101) })
+		r.applyEnds(o, unknownJob, 101)
 		wantFields(t, r.events(eventlog.EndIgnored)[maxIgnoredEnds], map[string]any{"left_out": 100 - maxIgnoredEnds})
 	})
 }
@@ -191,20 +205,16 @@
 // across the restart that cannot be told from other lost ends.
 func TestRestartNamesBothIncarnations(t *testing.T) {
 	withEvents(t, 1, func(r *eventRig) {
-		o := r.startOwner()
-		time.Sleep(time.Second)
+		o := r.startReady()
 		assert.Equal(t, r.submit(o, simpleJob(1, 3)).Code, OK)
 		r.awaitState(o, 1, job.Completed, 10*time.Second)
 		time.Sleep(time.Second)
 		r.workerInfos[0].StartedUnixMs = 9
 		r.fleet.Add(r.workerInfos[0])
-		r.callOnLoop(func() { o.opts.Counts = r.counts; o.SetWorkers(r.workerInfos) })
+		r.callOnLoop(func() { o.SetWorkers(r.workerInfos) })
 		assert.Equal(t, r.count("worker registry"), 1)
 		wantFields(t, r.only(eventlog.WorkerRestarted), map[string]any{"born": 9, "former_born": 1, "applied": 3, "stored": 3, "acked": 3, "seen_in": seenInRegistry})
-		r.callOnLoop(func() { // The new incarnation was told to forget its first 3 ends.
-			w := o.workers["w0"]
-			o.applyStatus(w, o.nextLogicalTime(), statusWithEnds(w, 4))
-		})
+		r.applyEnds(o, unknownJob, 4) // The new incarnation was told to forget its first 3 ends.
 		wantFields(t, r.only(eventlog.EndsMissing), map[string]any{"born": 9, "expected": 1, "listed": 4, "acked_before_restart": 3})
 	})
 }
@@ -219,8 +229,7 @@
 			}
 			return workertest.RunPlan{Duration: time.Second}
 		})
-		first := r.startOwner()
-		time.Sleep(time.Second)
+		first := r.startReady()
 		j := simpleJob(1, 8)
 		j.Steps = append(j.Steps, job.Step{Count: 1, Resources: job.Resources{CPU: 1000}, After: []int{0}, LongRunning: true})
 		assert.Equal(t, r.submit(first, j).Code, OK)
@@ -229,19 +238,14 @@
 		assert.Assert(t, len(stored) > 0)
 		var sequence uint64
 		r.callOnLoop(func() { sequence = first.journal.sequence; first.Stop() })
-		r.fleet.Kill("w0")
+		r.fleet.Kill("w1")
 		second := r.startOwner()
 		time.Sleep(2 * testLease)
-		r.callOnLoop(func() { // An end that the former owner stored and did not acknowledge.
-			w := second.workers["w1"]
-			status := statusWithEnds(w, 100)
-			status.EndedRuns[0].Task, status.EndedRuns[0].Run = job.TaskRef{Job: testJobID(1)}, 1
-			second.applyStatus(w, 0, status)
-		})
+		r.applyEnds(second, 1, 100) // An end that the former owner stored and did not acknowledge.
 		assert.Equal(t, len(r.events(eventlog.EndIgnored)), 0)
 		wantFields(t, r.events(eventlog.HeadClaimed)[1], map[string]any{"former_owner": "owner-1", "former_sequence": sequence, "generation": 2})
 		wantFields(t, r.events(eventlog.ShardLoaded)[1], map[string]any{"done_tasks": 8, "ended_jobs": 0, "jobs": 1})
-		wantFields(t, r.only(eventlog.WorkerWaitExpired), map[string]any{"worker": "w0", "registered": true})
+		wantFields(t, r.only(eventlog.WorkerWaitExpired), map[string]any{"worker": "w1", "registered": true})
 	})
 }
 
@@ -265,8 +269,7 @@
 func TestStoredEndsOfAllWorkersAreRecorded(t *testing.T) {
 	const workers = 2*maxWorkersPerLine + 1
 	withEvents(t, workers, func(r *eventRig) {
-		o := r.startOwner()
-		time.Sleep(time.Second)
+		o := r.startReady()
 		assert.Equal(t, r.submit(o, simpleJob(1, 4*workers)).Code, OK)
 		time.Sleep(8 * time.Second)
 		stored := map[string]bool{}
@@ -286,8 +289,7 @@
 func TestTraceVolumeWithoutFaults(t *testing.T) {
 	withEvents(t, 10, func(r *eventRig) {
 		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 300 * time.Millisecond} })
-		o := r.startOwner()
-		time.Sleep(time.Second)
+		o := r.startReady()
 		began := time.Now()
 		const jobs = 300
 		for n := range jobs {
--- a/jobs/shard/traceruns.go
+++ b/jobs/shard/traceruns.go
@@ -26,7 +26,8 @@
 type removalReason string
 
 const (
-	notListed       removalReason = "not-listed" // By a status requested after the order was answered.
+	notListed       removalReason = "not-listed"  // By a status requested after the order was answered.
+	neverBegan      removalReason = "never-began" // The same, and the worker has never listed it or confirmed its start.
 	workerRestarted removalReason = "worker-restarted"
 	leaseExpired    removalReason = "lease-expired"
 	workerGone      removalReason = "worker-gone"
@@ -50,7 +51,23 @@
 // removeUnlisted removes runs that a status does not list, which has the given number
 // of ended runs.
 func (s *Shard) removeUnlisted(w *workerState, runs []*attempt, endsListed int) {
-	s.removeRuns(w, runs, notListed, eventlog.Fields{"ends_listed": endsListed})
+	details := eventlog.Fields{"ends_listed": endsListed}
+	began, others := []*attempt(nil), []*attempt(nil)
+	for _, a := range runs {
+		if a.knownToBegin() {
+			began = append(began, a)
+		} else {
+			others = append(others, a)
+		}
+	}
+	s.removeRuns(w, began, notListed, details)
+	s.removeRuns(w, others, neverBegan, details)
+}
+
+// knownToBegin reports whether this incarnation of the worker has listed the run or
+// confirmed its start.
+func (a *attempt) knownToBegin() bool {
+	return a.timing.listedClock > 0 || a.firstSeenAt > 0 && a.movedFrom == nil
 }
 
 // removeRuns removes runs of a worker without an end, and records why.
@@ -70,18 +87,13 @@
 func (s *Shard) recordRemovedRuns(w *workerState, runs []*attempt, reason removalReason, details eventlog.Fields) {
 	var names []string
 	var count [stopping + 1]int
-	moved := 0
 	for _, a := range runs {
-		if a.movedFrom != nil {
-			moved++
-		}
 		names = append(names, fmt.Sprintf("%v/%d", a.ref, a.run))
 		count[a.phase]++
 	}
 	fields := s.workerFields(w)
 	fields["reason"], fields["runs"] = string(reason), strings.Join(names, " ")
 	fields["starting"], fields["running"], fields["stopping"] = count[starting], count[running], count[stopping]
-	fields["moved"] = moved
 	if reason == notListed {
 		fields["recent_ends"] = w.trace.recentText()
 	}
