--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -114,6 +114,15 @@
 	CapNeedUnmet     Code = 4581
 	JobHeldBackByCap Code = 4582
 	CapRowUnreadable Code = 4583
+
+	RunRemoved         Code = 4590
+	EndsMissing        Code = 4591
+	TasksRestarted     Code = 4592
+	EndIgnored         Code = 4593
+	WorkerWaitExpired  Code = 4594
+	EndsStored         Code = 4595
+	HeadClaimed        Code = 4596
+	WorkerOverCapacity Code = 4597
 )
 
 // Codes of the store, 5000 to 5999.
@@ -294,6 +303,14 @@
 	{CapNeedUnmet, "cap-need-unmet", LevelInfo, "For over a second, a pool has held less of a workspace's cap than it needs."},
 	{JobHeldBackByCap, "job-held-back-by-cap", LevelInfo, "The cap of its workspace has held back a job's next step for over a second."},
 	{CapRowUnreadable, "cap-row-unreadable", LevelWarning, "The division of a workspace's cap cannot be decoded; no task of the workspace starts until it is written again."},
+	{RunRemoved, "run-removed", LevelWarning, "Runs on a worker no longer count although no end of them was applied; each line gives the reason and names at most 14 runs."},
+	{EndsMissing, "ends-missing", LevelWarning, "A worker's list of ended runs skips numbers that were never applied; the ends of these runs are unknown."},
+	{TasksRestarted, "tasks-restarted", LevelInfo, "Tasks of a step are started again after a run that did not end as done or failed; the field former names that run, its worker and why it no longer counts."},
+	{EndIgnored, "end-ignored", LevelWarning, "The end of a run was not applied, because its job or task is unknown or unreadable, or the task was already done; it is acknowledged all the same."},
+	{WorkerWaitExpired, "worker-wait-expired", LevelWarning, "A worker of a former owner did not reply until all its leases had expired; its tasks can start on other workers."},
+	{EndsStored, "ends-stored", LevelInfo, "Up to which number the ends of workers are stored, or need no row; at most one line a second for each shard, with the number of its last transaction and up to 24 workers."},
+	{HeadClaimed, "head-claimed", LevelInfo, "This process claimed the head row of a shard; the fields name the former owner and its last transaction."},
+	{WorkerOverCapacity, "worker-over-capacity", LevelWarning, "The runs that execute on a worker need more than its capacity."},
 
 	{StoreReachable, "store-reachable", LevelInfo, "The table service answers again."},
 	{StoreUnreachable, "store-unreachable", LevelAlarm, "The table service does not answer; nothing can be changed, requests are served."},
@@ -353,7 +370,7 @@
 	{ProcessPaused, "process-paused", LevelWarning, "The process was suspended for longer than the validity of its view."},
 	{ProcessFailed, "process-failed", LevelAlarm, "The entry process ends because of an internal fault."},
 	{MetricsListenFault, "metrics-listen-fault", LevelAlarm, "The listener for metrics failed."},
-	{LogLinesDropped, "log-lines-dropped", LevelWarning, "Log lines were dropped because their reader was too slow."},
+	{LogLinesDropped, "log-lines-dropped", LevelWarning, "Log lines were dropped because their reader was too slow; the fields give their number and event, or no event for all since the start."},
 	{LogLinesLimited, "log-lines-limited", LevelWarning, "The log lines of an event exceeded their rate limit; the fields name the event and the number of lines left out."},
 	{SettingsReloaded, "settings-reloaded", LevelInfo, "A changed settings file is in force, as far as it can be without a restart."},
 	{SettingsRefused, "settings-refused", LevelWarning, "A changed settings file has faults; the previous settings stay in force."},
--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -28,6 +28,7 @@
 	s.noteStatus(w, status.ClockTime)
 	w.lastStatusClock = status.ClockTime
 	slices.SortFunc(status.EndedRuns, func(a, b worker.RunEnd) int { return cmp.Compare(a.Number, b.Number) })
+	s.checkEndNumbers(w, status.EndedRuns)
 	for _, end := range status.EndedRuns {
 		if end.Number <= w.lastAppliedEnd {
 			continue
@@ -44,23 +45,25 @@
 		}
 	}
 	if len(status.EndedRuns) < maxListedEnds {
-		s.removeUnlistedRuns(w, sent, listed)
+		s.removeUnlisted(w, unlistedRuns(w, sent, listed), len(status.EndedRuns))
 		s.markAccountedFor(w)
 	}
+	s.checkUse(w)
 	s.stopUncertainStarts(w, sent)
 	s.schedulePlacement()
 	s.flush()
 }
 
-// removeUnlistedRuns removes the runs that a worker's complete status lists neither as
-// running nor as ended. An order that was answered before the request for the status was
-// sent is reflected in it.
-func (s *Shard) removeUnlistedRuns(w *workerState, sent logicalTime, listed map[runKey]bool) {
+// unlistedRuns returns the runs that a worker's complete status lists neither as running
+// nor as ended. An order that was answered before the request for the status was sent is
+// reflected in it.
+func unlistedRuns(w *workerState, sent logicalTime, listed map[runKey]bool) (unlisted []*attempt) {
 	for key, a := range w.attempts {
 		if !listed[key] && a.answeredAt > 0 && a.answeredAt < sent {
-			s.removeAttempt(a)
+			unlisted = append(unlisted, a)
 		}
 	}
+	return unlisted
 }
 
 // applyRunningTask applies a run that a worker's status lists as running. A run that
@@ -120,6 +123,7 @@
 // applyRunEnd applies the end of a run to its attempt, task and job.
 func (s *Shard) applyRunEnd(w *workerState, end worker.RunEnd) {
 	w.lastRunEndedAt = s.opts.Clock()
+	s.traceRunEnd(w, end)
 	if a := w.attempts[runKey{end.Task, end.Run}]; a != nil {
 		a.noteCheckpoint(end.SavedCheckpoint, w.lastStatusClock)
 		if s.learning != nil {
--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/worker"
 )
 
@@ -33,16 +32,17 @@
 	if born == 0 || born == w.info.StartedUnixMs {
 		return w
 	}
-	return s.replaceRestartedWorker(w, born)
+	return s.replaceRestartedWorker(w, born, seenInReply)
 }
 
 // replaceRestartedWorker replaces the state of a worker by that of its next incarnation.
 // Calls and transactions in flight keep their reference to the former state.
-func (s *Shard) replaceRestartedWorker(former *workerState, born int64) *workerState {
-	s.recordEvent(eventlog.WorkerRestarted, eventlog.Fields{"worker": former.info.ID, "runs": len(former.attempts)})
+func (s *Shard) replaceRestartedWorker(former *workerState, born int64, seenIn restartEvidence) *workerState {
+	s.recordRestart(former, born, seenIn)
 	w := s.addWorker(former.info)
 	w.info.StartedUnixMs = born
 	w.applyEntry(former.entry)
+	w.trace = traceAfterRestart(former)
 	w.registered, w.accountedFor, w.vacateUntil = former.registered, former.accountedFor, former.vacateUntil
 	w.rowQueued = true
 	s.journal.workerRows = append(s.journal.workerRows, w)
@@ -55,10 +55,11 @@
 // their orders may have reached the next one. The first status that it sends afterwards
 // decides. The other runs have ended with the former incarnation.
 func (s *Shard) moveUncertainRuns(former, next *workerState) {
+	var ended []*attempt
 	for key, a := range former.attempts {
 		switch {
 		case a.timing.listedClock > 0:
-			s.removeAttempt(a)
+			ended = append(ended, a)
 		case a.phase == stopping:
 			s.removeAttempt(a)
 			s.stopAttempt(s.addDiscoveredRun(next, key))
@@ -66,6 +67,7 @@
 			a.moveTo(next)
 		}
 	}
+	s.removeRuns(former, ended, workerRestarted, nil)
 }
 
 // moveTo assigns the attempt to the next incarnation of its worker.
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -125,6 +125,8 @@
 	restartedAfterStall bool        // A stalled run of the task was stopped.
 	held                bool        // Its last attempt waits for a proven worker.
 	heldSince           time.Duration
+	doneRun             int      // The run whose end made the task done; 0 if it was done before this owner.
+	lostRun             *lostRun // The last run if it no longer counts and no start has followed.
 	// notBefore is the earliest time of the next start, on the shard's clock.
 	notBefore time.Duration
 }
@@ -199,6 +201,7 @@
 	// since; nil otherwise.
 	movedFrom *workerState
 	countedIn *workspaceCap // The cap in whose use the run is counted, or nil.
+	former    *lostRun      // The run that this one replaces, or nil.
 }
 
 func (a *attempt) key() runKey { return runKey{a.ref, a.run} }
@@ -250,6 +253,7 @@
 
 	pace          int // Pace of the best-effort tasks, in percent.
 	paceChangedAt time.Duration
+	trace         workerTrace
 }
 
 func (w *workerState) target() worker.Target {
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"peridotcrank.dev/eventlog"
@@ -43,10 +45,11 @@
 	if w == nil {
 		w = s.addWorker(info)
 		w.accountedFor = true // A worker that is not in the rows was never used by a former owner.
+		w.trace.knownFromFirstEnd = true
 		s.stopUnansweredStarts(w)
 	}
 	if w.info.StartedUnixMs != 0 && info.StartedUnixMs > w.info.StartedUnixMs {
-		w = s.replaceRestartedWorker(w, info.StartedUnixMs)
+		w = s.replaceRestartedWorker(w, info.StartedUnixMs, seenInRegistry)
 	}
 	w.registered = true
 	w.applyEntry(info)
@@ -125,10 +128,8 @@
 	}
 }
 
-func (s *Shard) removeAttempts(w *workerState) {
-	for _, a := range w.attempts {
-		s.removeAttempt(a)
-	}
+func (s *Shard) removeAttempts(w *workerState, reason removalReason) {
+	s.removeRuns(w, slices.Collect(maps.Values(w.attempts)), reason, nil)
 }
 
 // markAccountedFor marks that this owner knows everything that former owners may have
@@ -147,7 +148,7 @@
 		return
 	}
 	s.recordEvent(eventlog.WorkerGone, eventlog.Fields{"worker": w.info.ID, "reason": reason, "runs": len(w.attempts)})
-	s.removeAttempts(w)
+	s.removeAttempts(w, workerGone)
 	s.markAccountedFor(w)
 	delete(s.workers, w.info.ID)
 	s.deleteWorkerRow(w.info.ID)
@@ -170,6 +171,7 @@
 	// delay the restart of its tasks on other workers, and it might have restarted.
 	if w.clock > 0 && w.failedHolds == 0 {
 		order.AckedUpTo = w.lastCommittedEnd
+		w.trace.noteAcknowledged(order.AckedUpTo)
 		order.LeaseExpiry = max(w.minClockNow(now)+s.opts.LeaseDuration, w.maxLeaseExpiry)
 		w.maxLeaseExpiry = order.LeaseExpiry
 		order.Wait = holdWait
@@ -218,7 +220,7 @@
 			return
 		}
 		s.recordEvent(eventlog.WorkerLeasePassed, eventlog.Fields{"worker": w.info.ID, "runs": len(w.attempts)})
-		s.removeAttempts(w)
+		s.removeAttempts(w, leaseExpired)
 		s.schedulePlacement()
 	})
 }
@@ -270,6 +272,7 @@
 		s.recordEvent(eventlog.WorkerJoined, eventlog.Fields{
 			"worker": w.info.ID, "zone": w.info.Zone, "rack": w.rack(), "known_for": (s.opts.Clock() - w.knownSince).String(),
 			"age": s.opts.WallClock().Sub(time.UnixMilli(w.info.StartedUnixMs)).String(), "recorded": w.rowCommitted,
+			"born": w.info.StartedUnixMs, "first_end": firstListedEnd(status.EndedRuns), "runs_listed": len(status.Running),
 		})
 	}
 	w.statusArrivedAt = arrived
@@ -309,9 +312,10 @@
 		s.confirmLeaseExpiry(w)
 	}
 	if w.failedHolds > 0 && w.clock == 0 && (!w.registered || now > w.knownSince+maxOrderDelay+s.opts.LeaseDuration) {
-		s.removeAttempts(w) // The starts were not answered and can no longer run.
+		s.removeAttempts(w, neverAnswered) // The starts were not answered and can no longer run.
 	}
 	if !w.accountedFor && w.failedHolds >= minUnansweredHolds && now > s.ownerSince+time.Duration(float64(s.inheritedLease)/minClockRate)+leaseMargin {
+		s.recordWaitExpired(w, now)
 		s.markAccountedFor(w)
 	}
 	if s.registryRead && !w.registered && w.failedHolds > 0 && w.accountedFor && len(w.attempts) == 0 {
