Simulated workers: no timers of zero duration

A run of the tests ended with a segmentation violation in the Go runtime (timer.maybeRunChan, called by the select on time.After(0) in waitForReply, within a synctest bubble and under the race detector). A timer in a bubble can only be due at the time of the select if its duration is zero.

--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -115,7 +115,7 @@
 	f.mu.Lock()
 	pending := len(w.endedRuns) > 0
 	f.mu.Unlock()
-	if !pending {
+	if !pending && hold.Wait > 0 {
 		select {
 		case <-changed:
 		case <-time.After(hold.Wait):
@@ -138,6 +138,9 @@
 		delay = f.replyDelay(id)
 	}
 	f.mu.Unlock()
+	if delay == 0 {
+		return nil
+	}
 	select {
 	case <-time.After(delay):
 		return nil
