Simulated workers have a clock of their own that starts anew, and shorten leases

All simulated workers shared one clock, which a restart did not set back, and accepted leases of any length. Orders whose lease is a time on the clock of the former incarnation were therefore never tested. Each incarnation now has its own clock, as the protocol says, and a lease is shortened to the longest allowed.

--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -16,6 +16,10 @@
 	// StopTime is the time that a run takes to stop. Default 50 ms.
 	StopTime time.Duration
 
+	// MaxLease is the longest lease that a worker accepts; a longer one is shortened.
+	// Default 6 s.
+	MaxLease time.Duration
+
 	// DeliverToNewIncarnation lets delayed orders reach a later incarnation of the
 	// worker. Holds never do, because they would acknowledge ended runs of that
 	// incarnation.
@@ -40,6 +44,7 @@
 
 type simulatedWorker struct {
 	info        worker.Info
+	startedAt   time.Duration
 	partitioned bool
 	terminated  bool   // A new incarnation exists, or the worker was killed.
 	callsBroken bool   // Calls in flight fail at once, instead of waiting for their timeout.
@@ -76,7 +81,7 @@
 	defer f.mu.Unlock()
 	old := f.workers[info.ID]
 	f.workers[info.ID] = &simulatedWorker{
-		info: info, runs: map[job.TaskRef]*run{}, highestRun: map[job.TaskRef]int{}, leaseExpiry: f.now(), former: old,
+		info: info, runs: map[job.TaskRef]*run{}, highestRun: map[job.TaskRef]int{}, startedAt: f.now(), former: old,
 	}
 	if old != nil {
 		f.kill(old)
@@ -201,6 +206,11 @@
 
 func (f *Fleet) now() time.Duration { return time.Since(f.createdAt) + time.Second }
 
+// clock returns the time on the clock of a worker, which starts anew in each incarnation.
+func (f *Fleet) clock(w *simulatedWorker) worker.ClockTime {
+	return f.now() - w.startedAt + time.Second
+}
+
 func (f *Fleet) recordViolation(format string, args ...any) {
 	f.violations = append(f.violations, fmt.Sprintf("%v: ", f.now())+fmt.Sprintf(format, args...))
 }
--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -26,13 +26,15 @@
 
 const (
 	defaultDelay    = 4 * time.Second
+	defaultMaxLease = 6 * time.Second
 	defaultStopTime = 50 * time.Millisecond
 )
 
 var _ worker.Client = (*Fleet)(nil)
 
-// deliver executes an order on a worker and applies the fault chosen for it.
-func (f *Fleet) deliver(ctx context.Context, to worker.Target, name string, order func(*simulatedWorker) error) error {
+// deliver executes an order on a worker and applies the fault chosen for it. It returns the
+// worker's clock.
+func (f *Fleet) deliver(ctx context.Context, to worker.Target, name string, order func(*simulatedWorker) error) (worker.ClockTime, error) {
 	f.mu.Lock()
 	fault := NoFault
 	if f.chooseFault != nil {
@@ -54,26 +56,25 @@
 	if unreachable || fault == Delayed {
 		f.mu.Unlock()
 		<-ctx.Done()
-		return ErrNoReply
+		return 0, ErrNoReply
 	}
-	err := order(w)
+	clock, err := f.clock(w), order(w)
 	f.mu.Unlock()
 	if fault == ResponseLost {
 		<-ctx.Done()
-		return ErrNoReply
+		return 0, ErrNoReply
 	}
-	return err
+	return clock, err
 }
 
 // Start implements [worker.Client].
 func (f *Fleet) Start(ctx context.Context, to worker.Target, order worker.Start) (worker.ClockTime, error) {
-	err := f.deliver(ctx, to, "start", func(w *simulatedWorker) error { return f.startRun(w, order) })
-	return f.now(), err
+	return f.deliver(ctx, to, "start", func(w *simulatedWorker) error { return f.startRun(w, order) })
 }
 
 // Stop implements [worker.Client].
 func (f *Fleet) Stop(ctx context.Context, to worker.Target, task job.TaskRef, number int, fence uint64) (worker.ClockTime, error) {
-	err := f.deliver(ctx, to, "stop", func(w *simulatedWorker) error {
+	return f.deliver(ctx, to, "stop", func(w *simulatedWorker) error {
 		if fence < w.fence {
 			return worker.ErrFenced
 		}
@@ -84,14 +85,13 @@
 		}
 		return nil
 	})
-	return f.now(), err
 }
 
 // Hold implements [worker.Client].
 func (f *Fleet) Hold(ctx context.Context, to worker.Target, hold worker.Hold) (worker.Status, error) {
 	var w *simulatedWorker
 	var changed <-chan struct{}
-	err := f.deliver(ctx, to, "hold", func(found *simulatedWorker) error {
+	_, err := f.deliver(ctx, to, "hold", func(found *simulatedWorker) error {
 		w = found
 		if hold.Fence < w.fence {
 			return worker.ErrFenced
@@ -151,7 +151,7 @@
 		return worker.Status{}, ErrNoReply
 	}
 	w.reportedTo = max(w.reportedTo, fence)
-	status := worker.Status{ClockTime: f.now(), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: append([]worker.RunEnd(nil), w.endedRuns...)}
+	status := worker.Status{ClockTime: f.clock(w), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: append([]worker.RunEnd(nil), w.endedRuns...)}
 	for _, r := range w.runs {
 		status.Running = append(status.Running, worker.RunningTask{Task: r.task, Run: r.number, Percent: 100})
 	}
--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -1,6 +1,7 @@
 package workertest
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -44,7 +45,7 @@
 	switch {
 	case order.Fence < w.fence:
 		return worker.ErrFenced
-	case order.LeaseExpiry <= f.now():
+	case order.LeaseExpiry <= f.clock(w):
 		return worker.ErrLeaseExpired
 	}
 	if f.acceptTicket != nil && !f.acceptTicket(w.info.ID, order) {
@@ -152,6 +153,8 @@
 // extendLease extends the lease of a worker. When the lease expires, all runs of the
 // worker end.
 func (f *Fleet) extendLease(w *simulatedWorker, leaseExpiry time.Duration) {
+	clock := f.clock(w)
+	leaseExpiry = min(leaseExpiry, clock+cmp.Or(f.MaxLease, defaultMaxLease))
 	if leaseExpiry <= w.leaseExpiry {
 		return
 	}
@@ -159,7 +162,7 @@
 	if w.leaseTimer != nil {
 		w.leaseTimer.Stop()
 	}
-	w.leaseTimer = time.AfterFunc(leaseExpiry-f.now(), func() {
+	w.leaseTimer = time.AfterFunc(leaseExpiry-clock, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.voidUnackedRunEnds(w)
