Wait for the longest lease of a worker that has restarted

What callers saw: TWICE, two runs of a task at the same time on two workers, after a worker had restarted under its id and then fell silent.

Cause: an order for the former incarnation of a worker names a lease on the clock of that incarnation, which is far in the future of the new one. The new incarnation shortens it to the longest lease that it accepts, while the owner waited only for the leases that it had sent since (5.8 s at most; the longest is 6 or 10 s). Besides, if the registry did not list the silent worker, its runs were given up at once, also those whose start it had answered.

Change: the first status of a worker that has restarted sets its lease to the longest one. Runs on a worker that has not replied since its restart are given up after that time if their start was answered.

--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/worker"
@@ -44,7 +45,7 @@
 	w.info.StartedUnixMs = born
 	w.applyEntry(former.entry)
 	w.registered, w.accountedFor, w.vacateUntil = former.registered, former.accountedFor, former.vacateUntil
-	w.rowQueued = true
+	w.restarted, w.rowQueued = true, true
 	s.journal.workerRows = append(s.journal.workerRows, w)
 	s.moveUncertainRuns(former, w)
 	s.stopUnansweredStarts(w)
@@ -79,6 +80,25 @@
 	next.used = next.used.Plus(a.reserved)
 }
 
+// removeEndedRuns removes the runs of a worker that has restarted and not replied since, once
+// they can no longer execute. A start that it has answered may have given it its longest
+// lease, since the order named a time on the clock of the former incarnation.
+func (s *Shard) removeEndedRuns(w *workerState, now time.Duration) {
+	if w.failedHolds == 0 || w.clock > 0 {
+		return
+	}
+	answeredRunsEnd := w.knownSince + orderTimeout + time.Duration(float64(s.maxLease())/minClockRate) + leaseMargin
+	unansweredRunsEnd := answeredRunsEnd + maxOrderDelay
+	for _, a := range w.attempts {
+		if a.answeredAt > 0 && now > answeredRunsEnd || a.answeredAt == 0 && (!w.registered || now > unansweredRunsEnd) {
+			s.removeAttempt(a)
+		}
+	}
+}
+
+// maxLease returns the longest lease that a worker may have.
+func (s *Shard) maxLease() time.Duration { return max(s.opts.MaxLease, s.opts.LeaseDuration) }
+
 // stopUnansweredStarts stops the runs whose start order may still reach a new incarnation
 // of a worker, unless the order is awaited. The new incarnation does not know about the
 // stop orders that the former one received.
--- a/jobs/shard/incarnation_test.go
+++ b/jobs/shard/incarnation_test.go
@@ -159,3 +159,48 @@
 		r.awaitState(o, 1, job.Completed, 10*time.Second)
 	})
 }
+
+// silentRestartRig has two workers; w0 has restarted and executes a task that its new
+// incarnation accepted before the owner knew of it. The lease in that order is a time on
+// the clock of the former incarnation, so the worker shortened it to its longest lease.
+func silentRestartRig(r *rig) (*owner, worker.Info) {
+	r.addWorkers(1)
+	r.fleet.MaxLease = 2 * testLease
+	r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 30 * time.Second} })
+	o := r.startOwner()
+	time.Sleep(4 * testLease)
+	restarted := r.restartInFleet(0, r.workerInfos[0].Capacity)
+	assert.Equal(r.t, r.submit(o, simpleJob(1, 1)).Code, OK)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(r.t, r.fleet.Running(), 1)
+	r.addWorkers(1)
+	return o, restarted
+}
+
+// Guards against a second run of a task whose start gave the new incarnation of a worker a
+// longer lease than the owner has sent to it.
+func TestLeaseOnFormerClockIsAwaited(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		o, restarted := silentRestartRig(r)
+		r.setRegistryEntry(o, 0, restarted)
+		time.Sleep(restartKnownWithin)
+		r.fleet.SetPartitioned("w0", true)
+		time.Sleep(4 * testLease)
+		assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testJobID(1)}), 2, "the task was not started again")
+	})
+}
+
+// Guards against a second run of a task because its worker, which restarted and has not
+// replied since, is missing from the registry while its lease has not expired.
+func TestMissingEntryOfSilentIncarnationKeepsRuns(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		o, restarted := silentRestartRig(r)
+		r.fleet.SetPartitioned("w0", true)
+		r.setRegistryEntry(o, 0, restarted)
+		time.Sleep(time.Second)
+		r.workerInfos = r.workerInfos[1:]
+		r.publishRegistry(o)
+		time.Sleep(6 * testLease)
+		assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testJobID(1)}), 2, "the task was not started again")
+	})
+}
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -23,6 +23,9 @@
 	Fence uint64
 	// LeaseDuration is the duration of the leases granted to workers. Required.
 	LeaseDuration time.Duration
+	// MaxLease is the longest lease that a worker accepts. A worker that has restarted may
+	// shorten an order for its former incarnation to it. Default LeaseDuration.
+	MaxLease time.Duration
 	// KeepEnded is how long the state of ended jobs is kept. Required.
 	KeepEnded time.Duration
 	// StopTime is the maximum time that a worker takes to stop a run. Required.
--- a/jobs/shard/rig_test.go
+++ b/jobs/shard/rig_test.go
@@ -152,7 +152,7 @@
 	}
 	s, err := New(Options{
 		Pool: pool, Owner: fmt.Sprintf("owner-%d", r.fence), Fence: r.fence,
-		LeaseDuration: testLease, KeepEnded: 10 * time.Minute, StopTime: testStopTime,
+		LeaseDuration: testLease, MaxLease: r.fleet.MaxLease, KeepEnded: 10 * time.Minute, StopTime: testStopTime,
 		Store: r.store, Workers: r.fleet, Adviser: r.adviser, Loop: o.loop, Recorder: r.recorder,
 		OwnsShard: o.ownsShard.Load, OnLost: func() { o.lost.Store(true) },
 		Clock:            func() time.Duration { return time.Since(r.startedAt) + time.Second },
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -216,6 +216,7 @@
 	confirmingLeaseExpiry bool          // A status query that confirms the expiry of its lease is in flight.
 	statusRequestedAt     time.Duration // When its status was last requested for a starting task.
 	knownSince            time.Duration // When this incarnation became known.
+	restarted             bool          // It may have carried out orders for the former incarnation.
 	used                  job.Resources
 	attempts              map[runKey]*attempt
 
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -272,6 +272,9 @@
 			"age": s.opts.WallClock().Sub(time.UnixMilli(w.info.StartedUnixMs)).String(), "recorded": w.rowCommitted,
 		})
 	}
+	if w.restarted && w.lastStatusClock == 0 {
+		w.maxLeaseExpiry = status.ClockTime + s.maxLease()
+	}
 	w.statusArrivedAt = arrived
 	w.updateClock(status.ClockTime, s.opts.Clock())
 	s.applyStatus(w, sent, status)
@@ -308,9 +311,7 @@
 	if w.leaseExpired(now) {
 		s.confirmLeaseExpiry(w)
 	}
-	if w.failedHolds > 0 && w.clock == 0 && (!w.registered || now > w.knownSince+maxOrderDelay+s.opts.LeaseDuration) {
-		s.removeAttempts(w) // The starts were not answered and can no longer run.
-	}
+	s.removeEndedRuns(w, now)
 	if !w.accountedFor && w.failedHolds >= minUnansweredHolds && now > s.ownerSince+time.Duration(float64(s.inheritedLease)/minClockRate)+leaseMargin {
 		s.markAccountedFor(w)
 	}
--- a/peridotcrank/jobproc/ownership.go
+++ b/peridotcrank/jobproc/ownership.go
@@ -34,6 +34,7 @@
 	s, err := shard.New(shard.Options{
 		Pool: name, Owner: fmt.Sprintf("%s/%d", p.currentSettings().Member, fence), Fence: fence,
 		LeaseDuration: min(maxWorkerLease, p.currentSettings().Leases.MaxHold),
+		MaxLease:      p.currentSettings().Leases.MaxHold,
 		KeepEnded:     p.currentSettings().Timing.KeepEnded + retentionMargin,
 		StopTime:      p.currentSettings().Timing.Stop,
 		Store:         p.store, Workers: p.workers, Adviser: p.adviser, Loop: scope, Recorder: p.log,
