--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/worker"
 )
 
@@ -34,16 +33,17 @@
 	if born == 0 || born == w.info.StartedUnixMs {
 		return w
 	}
-	return s.replaceRestartedWorker(w, born)
+	return s.replaceRestartedWorker(w, born, seenInReply)
 }
 
 // replaceRestartedWorker replaces the state of a worker by that of its next incarnation.
 // Calls and transactions in flight keep their reference to the former state.
-func (s *Shard) replaceRestartedWorker(former *workerState, born int64) *workerState {
-	s.recordEvent(eventlog.WorkerRestarted, eventlog.Fields{"worker": former.info.ID, "runs": len(former.attempts)})
+func (s *Shard) replaceRestartedWorker(former *workerState, born int64, seenIn restartEvidence) *workerState {
+	s.recordRestart(former, born, seenIn)
 	w := s.addWorker(former.info)
 	w.info.StartedUnixMs = born
 	w.applyEntry(former.entry)
+	w.trace = traceAfterRestart(former)
 	w.registered, w.accountedFor, w.vacateUntil = former.registered, former.accountedFor, former.vacateUntil
 	w.restarted, w.rowQueued = true, true
 	s.journal.workerRows = append(s.journal.workerRows, w)
@@ -56,10 +56,11 @@
 // their orders may have reached the next one. The first status that it sends afterwards
 // decides. The other runs have ended with the former incarnation.
 func (s *Shard) moveUncertainRuns(former, next *workerState) {
+	var ended []*attempt
 	for key, a := range former.attempts {
 		switch {
 		case a.timing.listedClock > 0:
-			s.removeAttempt(a)
+			ended = append(ended, a)
 		case a.phase == stopping:
 			s.removeAttempt(a)
 			s.stopAttempt(s.addDiscoveredRun(next, key))
@@ -67,6 +68,7 @@
 			a.moveTo(next)
 		}
 	}
+	s.removeRuns(former, ended, workerRestarted, nil)
 }
 
 // moveTo assigns the attempt to the next incarnation of its worker.
@@ -89,11 +91,13 @@
 	}
 	answeredRunsEnd := w.knownSince + orderTimeout + time.Duration(float64(s.maxLease())/minClockRate) + leaseMargin
 	unansweredRunsEnd := answeredRunsEnd + maxOrderDelay
+	var ended []*attempt
 	for _, a := range w.attempts {
 		if a.answeredAt > 0 && now > answeredRunsEnd || a.answeredAt == 0 && (!w.registered || now > unansweredRunsEnd) {
-			s.removeAttempt(a)
+			ended = append(ended, a)
 		}
 	}
+	s.removeRuns(w, ended, neverAnswered, nil)
 }
 
 // maxLease returns the longest lease that a worker may have.
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -118,6 +118,7 @@
 	for _, w := range s.workers {
 		if w.lastCommittedEnd < w.lastAppliedEnd {
 			w.lastCommittedEnd = w.lastAppliedEnd
+			s.noteEndsStored(w)
 			s.sendHold(w)
 		}
 	}
@@ -300,6 +301,7 @@
 	for w, number := range b.appliedEnds {
 		if number > w.lastCommittedEnd {
 			w.lastCommittedEnd = number
+			s.noteEndsStored(w)
 			s.sendHold(w)
 		}
 	}
@@ -406,6 +408,7 @@
 	if !result.Applied {
 		return nil, 0, fmt.Errorf("write head row: %w", errHeadChanged)
 	}
+	s.recordClaim(head, next)
 	return next, result.Version, nil
 }
 
@@ -428,9 +431,7 @@
 	s.inheritedLease = time.Duration(head.HoldMs) * time.Millisecond
 	s.restoreState(loaded)
 	s.active = true
-	s.recordEvent(eventlog.ShardLoaded, eventlog.Fields{
-		"fence": s.opts.Fence, "generation": head.Generation, "jobs": len(s.jobs), "workers": s.unaccountedWorkers,
-	})
+	s.recordLoaded(head.Generation)
 	s.registerWorkers()
 	s.runPeriodicChecks()
 }
--- /dev/null
+++ b/jobs/shard/trace.go
@@ -0,0 +1,125 @@
+package shard
+
+import (
+	"time"
+
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/jobpb"
+)
+
+// This file records what the log tells of workers and of takeovers. Like the other trace
+// files, it takes no decisions.
+
+// Counts counts events that an operator watches. It is called on the loop.
+type Counts interface {
+	// CountRemovedRun counts a run that was removed without an end, by reason.
+	CountRemovedRun(reason string)
+	// CountMissingEnds counts ends that a worker no longer lists and that were never applied.
+	CountMissingEnds(n uint64)
+	// CountRestartedTask counts a task that is started again, by why its last run does
+	// not count.
+	CountRestartedTask(reason string)
+	// CountWorkerRestart counts a restarted worker by what revealed the restart.
+	CountWorkerRestart(seenIn string)
+}
+
+type noCounts struct{}
+
+func (noCounts) CountRemovedRun(string)    {}
+func (noCounts) CountMissingEnds(uint64)   {}
+func (noCounts) CountRestartedTask(string) {}
+func (noCounts) CountWorkerRestart(string) {}
+
+// restartEvidence says what revealed the restart of a worker.
+type restartEvidence string
+
+const (
+	seenInRegistry restartEvidence = "registry"
+	seenInReply    restartEvidence = "reply"
+)
+
+// workerTrace is what the log tells of one incarnation of a worker.
+type workerTrace struct {
+	// knownFromFirstEnd is set if no former owner can have acknowledged ends of this
+	// incarnation.
+	knownFromFirstEnd bool
+	// acked is the highest number that a hold to this incarnation acknowledged.
+	acked uint64
+	// ackedBeforeRestart is the number that calls may have acknowledged to this incarnation
+	// before the restart was known, although it counts ends of the former one.
+	ackedBeforeRestart uint64
+	overCapacity       bool
+	// recent is a ring of the last applied ends.
+	recent     [recentEnds]appliedEnd
+	recentNext int
+}
+
+// traceAfterRestart returns the trace of the next incarnation of a worker.
+func traceAfterRestart(former *workerState) workerTrace {
+	return workerTrace{knownFromFirstEnd: former.accountedFor, ackedBeforeRestart: former.trace.acked}
+}
+
+// shardTrace is what the log tells of a shard.
+type shardTrace struct {
+	storedWorkers  map[*workerState]struct{} // With ends stored since the last line that names them.
+	endsRecordedAt time.Duration
+	ignoredEnds    int // In the interval that began at ignoredSince.
+	ignoredSince   time.Duration
+	ignoredLeftOut int // Ignored ends that were not logged, until the next line.
+}
+
+// workerFields returns the fields that identify an incarnation of a worker and how far
+// its ends were applied, stored and acknowledged, and whether this process may act for the
+// shard.
+func (s *Shard) workerFields(w *workerState) eventlog.Fields {
+	fields := eventlog.Fields{
+		"worker": w.info.ID, "born": w.info.StartedUnixMs, "clock": w.lastStatusClock.Milliseconds(),
+		"fence": s.opts.Fence, "right": s.canAct(), "applied": w.lastAppliedEnd, "stored": w.lastCommittedEnd, "acked": w.trace.acked,
+	}
+	if w.trace.ackedBeforeRestart > 0 {
+		fields["acked_before_restart"] = w.trace.ackedBeforeRestart
+	}
+	return fields
+}
+
+// recordRestart records that a worker has restarted.
+func (s *Shard) recordRestart(former *workerState, born int64, seenIn restartEvidence) {
+	s.opts.Counts.CountWorkerRestart(string(seenIn))
+	fields := s.workerFields(former)
+	fields["born"], fields["former_born"], fields["seen_in"] = born, former.info.StartedUnixMs, string(seenIn)
+	fields["runs"], fields["former_cpu"] = len(former.attempts), former.info.Capacity.CPU
+	s.recordEvent(eventlog.WorkerRestarted, fields)
+}
+
+// recordWaitExpired records that a worker counts as accounted for without a reply.
+func (s *Shard) recordWaitExpired(w *workerState, now time.Duration) {
+	fields := s.workerFields(w)
+	fields["waited"], fields["registered"], fields["failed_holds"] = (now - s.ownerSince).String(), w.registered, w.failedHolds
+	s.recordEvent(eventlog.WorkerWaitExpired, fields)
+}
+
+// recordClaim records the claim of the head row and the owner that wrote it last.
+func (s *Shard) recordClaim(former, claimed *jobpb.Head) {
+	s.recordEvent(eventlog.HeadClaimed, eventlog.Fields{
+		"fence": claimed.Fence, "generation": claimed.Generation,
+		"former_owner": former.Owner, "former_fence": former.Fence, "former_generation": former.Generation, "former_sequence": former.Sequence,
+	})
+}
+
+// recordLoaded records what the rows of the shard contained.
+func (s *Shard) recordLoaded(generation uint32) {
+	done, failures := 0, 0
+	for _, js := range s.jobs {
+		for _, step := range js.steps {
+			done += step.done
+			failures += len(step.failedRuns)
+			for _, t := range step.tasks {
+				failures += len(t.failedRuns)
+			}
+		}
+	}
+	s.recordEvent(eventlog.ShardLoaded, eventlog.Fields{
+		"fence": s.opts.Fence, "generation": generation, "jobs": len(s.jobs), "workers": s.unaccountedWorkers,
+		"done_tasks": done, "failed_runs": failures, "ended_jobs": len(s.ended),
+	})
+}
