--- a/jobs/shard/incarnation_test.go
+++ b/jobs/shard/incarnation_test.go
@@ -9,6 +9,7 @@
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/rows"
 	"peridotcrank.dev/jobs/worker"
 	"peridotcrank.dev/jobs/worker/workertest"
 )
@@ -204,3 +205,81 @@
 		assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testJobID(1)}), 2, "the task was not started again")
 	})
 }
+
+// Guards against runs that are not counted because their start gets no reply, is carried
+// out late, and its worker was removed and registered again meanwhile.
+func TestUnansweredStartCountsAfterRegistration(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(1)
+		r.fleet.Delay, r.fleet.DeliverToNewIncarnation = 3*time.Second, true
+		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 5 * time.Second} })
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		r.fleet.SetFault(func(_ worker.ID, order string) workertest.Fault {
+			switch order {
+			case "start":
+				return workertest.Delayed
+			case "stop":
+				return workertest.RequestLost
+			}
+			return workertest.NoFault
+		})
+		assert.Equal(t, r.submit(o, simpleJob(1, 3)).Code, OK)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, r.cancel(o, 1).Code, OK)
+		restarted := r.restartInFleet(0, r.workerInfos[0].Capacity)
+		o.callOnLoop(func() { o.removeWorker(o.workers["w0"], "test") })
+		r.setRegistryEntry(o, 0, restarted)
+		time.Sleep(time.Second)
+		r.fleet.SetFault(nil)
+		assert.Equal(t, r.submit(o, simpleJob(2, 4)).Code, OK)
+		r.awaitState(o, 2, job.Completed, 3*testLease)
+	})
+}
+
+// Guards against capacity that counts as free while runs are being stopped and no stop is
+// answered.
+func TestUnansweredStopsKeepCapacity(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(1)
+		r.fleet.StopTime = testStopTime
+		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 6 * time.Second} })
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		assert.Equal(t, r.submit(o, simpleJob(1, 4)).Code, OK)
+		time.Sleep(100 * time.Millisecond)
+		r.fleet.SetFault(func(_ worker.ID, order string) workertest.Fault {
+			if order == "stop" {
+				return workertest.ResponseLost
+			}
+			return workertest.NoFault
+		})
+		assert.Equal(t, r.cancel(o, 1).Code, OK)
+		assert.Equal(t, r.submit(o, simpleJob(2, 4)).Code, OK)
+		time.Sleep(2 * time.Second)
+		r.fleet.SetFault(nil)
+		r.awaitState(o, 2, job.Completed, 10*time.Second)
+	})
+}
+
+// Guards against tasks beside runs whose resources are unknown after a takeover, because
+// their job has ended or its row cannot be decoded.
+func TestRunsOfUnknownJobsBlockTheirWorker(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(1)
+		r.fleet.StopTime = testStopTime
+		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 4 * time.Second} })
+		first := r.startOwner()
+		time.Sleep(time.Second)
+		assert.Equal(t, r.submit(first, simpleJob(1, 2)).Code, OK)
+		assert.Equal(t, r.submit(first, simpleJob(2, 2)).Code, OK)
+		time.Sleep(500 * time.Millisecond)
+		first.callOnLoop(first.Stop)
+		r.store.Put(rows.Row{Key: first.rowKey(tableJob, string(testJobID(1))), Value: []byte{0xff, 0xff}})
+		second := r.startOwner()
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, r.submit(second, simpleJob(3, 4)).Code, OK)
+		r.awaitState(second, 2, job.Completed, 15*time.Second)
+		r.awaitState(second, 3, job.Completed, 15*time.Second)
+	})
+}
