Do not send the lease of a former incarnation's order to a restarted worker

The owner counted the longest lease as one that it had sent, and so renewed it with the next hold. The next owner waits only for LeaseDuration, so it could have started tasks that still executed. The lease that an order for the former incarnation may have set is kept apart now. TestRestartedWorkerGetsNoLongerLease failed before.

--- a/jobs/shard/incarnation_test.go
+++ b/jobs/shard/incarnation_test.go
@@ -283,3 +283,17 @@
 		r.awaitState(second, 3, job.Completed, 15*time.Second)
 	})
 }
+
+// Guards against leases that are longer than those that the next owner waits for, because
+// the lease that a restarted worker may have is sent to it in a hold.
+func TestRestartedWorkerGetsNoLongerLease(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		o, restarted := silentRestartRig(r)
+		r.setRegistryEntry(o, 0, restarted)
+		time.Sleep(restartKnownWithin)
+		o.callOnLoop(func() {
+			w := o.workers["w0"]
+			assert.Assert(t, w.maxLeaseExpiry > 0 && w.maxLeaseExpiry <= w.minClockNow(o.opts.Clock())+testLease)
+		})
+	})
+}
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -226,6 +226,9 @@
 	clock          worker.ClockTime // Last reading of the worker's clock.
 	clockReadAt    time.Duration    // When that reading arrived, on the shard's clock.
 	maxLeaseExpiry worker.ClockTime // Latest lease expiry that was sent to the worker.
+	// formerLeaseExpiry is the latest lease expiry that an order for the former
+	// incarnation may have set.
+	formerLeaseExpiry worker.ClockTime
 
 	lastAppliedEnd              uint64 // Number of the last end of a run that was applied.
 	lastCommittedEnd            uint64 // Number of the last end of a run whose effects are committed.
@@ -269,7 +272,7 @@
 // leaseExpiry returns the latest time at which the worker's lease expires, on the
 // shard's clock.
 func (w *workerState) leaseExpiry() time.Duration {
-	left := max(w.maxLeaseExpiry-w.clock, 0)
+	left := max(w.maxLeaseExpiry-w.clock, w.formerLeaseExpiry-w.clock, 0)
 	return w.clockReadAt + time.Duration(float64(left)/minClockRate) + leaseMargin
 }
 
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -276,7 +276,7 @@
 		})
 	}
 	if w.restarted && w.lastStatusClock == 0 {
-		w.maxLeaseExpiry = status.ClockTime + s.maxLease()
+		w.formerLeaseExpiry = status.ClockTime + s.maxLease()
 	}
 	w.statusArrivedAt = arrived
 	w.updateClock(status.ClockTime, s.opts.Clock())
