A new owner waits for the longest lease of a worker whose row names an older start

The row and the registry name two incarnations of a silent worker, so a start of the former owner may have reached the later one with a lease on the clock of the earlier one. TestTakeoverAwaitsLongestLeaseOfRestartedWorker failed with '26.326s: run 1001 starts on w1 while run 1 is on w0'.

--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -103,6 +103,14 @@
 // maxLease returns the longest lease that a worker may have.
 func (s *Shard) maxLease() time.Duration { return max(s.opts.MaxLease, s.opts.LeaseDuration) }
 
+// inheritedLeaseOf returns the longest lease that a worker may have from former owners.
+func (s *Shard) inheritedLeaseOf(w *workerState) time.Duration {
+	if w.restarted {
+		return max(s.inheritedLease, s.maxLease())
+	}
+	return s.inheritedLease
+}
+
 // stopUnansweredStarts stops the runs whose start order may still reach a new incarnation
 // of a worker, unless the order is awaited. The new incarnation does not know about the
 // stop orders that the former one received.
--- a/jobs/shard/incarnation_test.go
+++ b/jobs/shard/incarnation_test.go
@@ -297,3 +297,17 @@
 		})
 	})
 }
+
+// Guards against a next owner that waits only for the leases that were sent, although its
+// silent worker has restarted and may have shortened an older order to its longest lease.
+func TestTakeoverAwaitsLongestLeaseOfRestartedWorker(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		o, restarted := silentRestartRig(r)
+		o.callOnLoop(o.Stop)
+		r.fleet.SetPartitioned("w0", true)
+		r.workerInfos[0] = restarted
+		r.startOwner()
+		time.Sleep(4 * testLease)
+		assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testJobID(1)}), 2, "the task was not started again")
+	})
+}
