--- a/jobs/shard/random_test.go
+++ b/jobs/shard/random_test.go
@@ -69,6 +69,9 @@
 	// maxRegistryLag is the longest time after the restart of a worker until the registry
 	// lists the new incarnation.
 	maxRegistryLag = 1500 * time.Millisecond
+	// maxReplyDelay lets replies to holds overtake those to later orders, and some replies
+	// arrive after the timeout of a query.
+	maxReplyDelay = orderTimeout + 50*time.Millisecond
 )
 
 // faultRun is the state of one test run with random faults.
@@ -115,6 +118,10 @@
 		}
 		return x.orderFault
 	})
+	if x.lateRestarts {
+		delayRandom := rand.New(rand.NewPCG(rng.Uint64(), 3))
+		r.fleet.SetReplyDelay(func(worker.ID) time.Duration { return time.Duration(delayRandom.Int64N(int64(maxReplyDelay))) })
+	}
 	x.owner = r.startOwner()
 	time.Sleep(time.Second)
 	for n := range randomJobs {
--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -49,7 +49,7 @@
 	partitioned bool
 	terminated  bool   // A new incarnation exists, or the worker was killed.
 	callsBroken bool   // Calls in flight fail at once, instead of waiting for their timeout.
-	reportedTo  uint64 // Highest fence of a hold that was answered with a status.
+	reportedTo  uint64 // Highest fence of a hold whose status has arrived.
 	former      *simulatedWorker
 	fence       uint64
 	leaseExpiry time.Duration
--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -123,11 +123,15 @@
 			return worker.Status{}, ErrNoReply
 		}
 	}
-	status, err := f.status(ctx, w, hold.Fence)
+	status, err := f.status(ctx, w)
 	if err != nil {
 		return worker.Status{}, err
 	}
-	return status, f.waitForReply(ctx, to.ID)
+	if err := f.waitForReply(ctx, to.ID); err != nil {
+		return worker.Status{}, err
+	}
+	f.WithLock(func() { w.reportedTo = max(w.reportedTo, hold.Fence) })
+	return status, nil
 }
 
 // waitForReply waits while the reply of a worker is on its way.
@@ -162,7 +166,7 @@
 	}
 }
 
-func (f *Fleet) status(ctx context.Context, w *simulatedWorker, fence uint64) (worker.Status, error) {
+func (f *Fleet) status(ctx context.Context, w *simulatedWorker) (worker.Status, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if w.callsBroken {
@@ -174,7 +178,6 @@
 		f.mu.Lock()
 		return worker.Status{}, ErrNoReply
 	}
-	w.reportedTo = max(w.reportedTo, fence)
 	listed := w.endedRuns[:min(len(w.endedRuns), maxListedEnds)]
 	status := worker.Status{ClockTime: f.clock(w), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: slices.Clone(listed)}
 	for _, r := range w.runs {
