--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -30,13 +30,15 @@
 
 const (
 	defaultDelay    = 4 * time.Second
+	defaultMaxLease = 6 * time.Second
 	defaultStopTime = 50 * time.Millisecond
 )
 
 var _ worker.Client = (*Fleet)(nil)
 
-// deliver executes an order on a worker and applies the fault chosen for it.
-func (f *Fleet) deliver(ctx context.Context, to worker.Target, name string, order func(*simulatedWorker) error) error {
+// deliver executes an order on a worker and applies the fault chosen for it. It returns the
+// worker's clock.
+func (f *Fleet) deliver(ctx context.Context, to worker.Target, name string, order func(*simulatedWorker) error) (worker.ClockTime, error) {
 	f.mu.Lock()
 	fault := NoFault
 	if f.chooseFault != nil {
@@ -58,26 +60,25 @@
 	if unreachable || fault == Delayed {
 		f.mu.Unlock()
 		<-ctx.Done()
-		return ErrNoReply
+		return 0, ErrNoReply
 	}
-	err := order(w)
+	clock, err := f.clock(w), order(w)
 	f.mu.Unlock()
 	if fault == ResponseLost {
 		<-ctx.Done()
-		return ErrNoReply
+		return 0, ErrNoReply
 	}
-	return err
+	return clock, err
 }
 
 // Start implements [worker.Client].
 func (f *Fleet) Start(ctx context.Context, to worker.Target, order worker.Start) (worker.ClockTime, error) {
-	err := f.deliver(ctx, to, "start", func(w *simulatedWorker) error { return f.startRun(w, order) })
-	return f.now(), err
+	return f.deliver(ctx, to, "start", func(w *simulatedWorker) error { return f.startRun(w, order) })
 }
 
 // Stop implements [worker.Client].
 func (f *Fleet) Stop(ctx context.Context, to worker.Target, task job.TaskRef, number int, fence uint64) (worker.ClockTime, error) {
-	err := f.deliver(ctx, to, "stop", func(w *simulatedWorker) error {
+	return f.deliver(ctx, to, "stop", func(w *simulatedWorker) error {
 		if fence < w.fence {
 			return worker.ErrFenced
 		}
@@ -88,14 +89,13 @@
 		}
 		return nil
 	})
-	return f.now(), err
 }
 
 // Hold implements [worker.Client].
 func (f *Fleet) Hold(ctx context.Context, to worker.Target, hold worker.Hold) (worker.Status, error) {
 	var w *simulatedWorker
 	var changed <-chan struct{}
-	err := f.deliver(ctx, to, "hold", func(found *simulatedWorker) error {
+	_, err := f.deliver(ctx, to, "hold", func(found *simulatedWorker) error {
 		w = found
 		if hold.Fence < w.fence {
 			return worker.ErrFenced
@@ -123,11 +123,15 @@
 			return worker.Status{}, ErrNoReply
 		}
 	}
-	status, err := f.status(ctx, w, hold.Fence)
+	status, err := f.status(ctx, w)
 	if err != nil {
 		return worker.Status{}, err
 	}
-	return status, f.waitForReply(ctx, to.ID)
+	if err := f.waitForReply(ctx, to.ID); err != nil {
+		return worker.Status{}, err
+	}
+	f.WithLock(func() { w.reportedTo = max(w.reportedTo, hold.Fence) })
+	return status, nil
 }
 
 // waitForReply waits while the reply of a worker is on its way.
@@ -165,7 +169,7 @@
 	}
 }
 
-func (f *Fleet) status(ctx context.Context, w *simulatedWorker, fence uint64) (worker.Status, error) {
+func (f *Fleet) status(ctx context.Context, w *simulatedWorker) (worker.Status, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if w.callsBroken {
@@ -177,9 +181,8 @@
 		f.mu.Lock()
 		return worker.Status{}, ErrNoReply
 	}
-	w.reportedTo = max(w.reportedTo, fence)
 	listed := w.endedRuns[:min(len(w.endedRuns), maxListedEnds)]
-	status := worker.Status{ClockTime: f.now(), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: slices.Clone(listed)}
+	status := worker.Status{ClockTime: f.clock(w), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: slices.Clone(listed)}
 	for _, r := range w.runs {
 		status.Running = append(status.Running, worker.RunningTask{Task: r.task, Run: r.number, Percent: 100})
 	}
