--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -88,6 +88,7 @@
 	fields := s.workerFields(former)
 	fields["born"], fields["former_born"], fields["seen_in"] = born, former.info.StartedUnixMs, string(seenIn)
 	fields["runs"], fields["former_cpu"] = len(former.attempts), former.info.Capacity.CPU
+	fields["entry_born"] = former.entry.StartedUnixMs
 	s.recordEvent(eventlog.WorkerRestarted, fields)
 }
 
