--- a/jobs/shard/traceruns.go
+++ b/jobs/shard/traceruns.go
@@ -48,9 +48,9 @@
 	return former
 }
 
-// removeUnlisted removes runs that a status does not list, which has the given number
+// removeWithoutEnd removes runs that a status does not list, which has the given number
 // of ended runs.
-func (s *Shard) removeUnlisted(w *workerState, runs []*attempt, endsListed int) {
+func (s *Shard) removeWithoutEnd(w *workerState, runs []*attempt, endsListed int) {
 	details := eventlog.Fields{"ends_listed": endsListed}
 	began, others := []*attempt(nil), []*attempt(nil)
 	for _, a := range runs {
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -260,9 +260,7 @@
 		return
 	}
 	w.failedHolds = 0
-	w = s.handleStatus(w, sent, arrived, status)
-	s.markAccountedFor(w)
-	s.sendHold(w)
+	s.sendHold(s.handleStatus(w, sent, arrived, status))
 }
 
 // handleStatus applies a status that arrived at the given time. It returns the state of the
@@ -274,7 +272,7 @@
 		s.recordEvent(eventlog.WorkerJoined, eventlog.Fields{
 			"worker": w.info.ID, "zone": w.info.Zone, "rack": w.rack(), "known_for": (s.opts.Clock() - w.knownSince).String(),
 			"age": s.opts.WallClock().Sub(time.UnixMilli(w.info.StartedUnixMs)).String(), "recorded": w.rowCommitted,
-			"born": w.info.StartedUnixMs, "first_end": firstEnd(status.EndedRuns), "runs_listed": len(status.Running),
+			"born": w.info.StartedUnixMs, "first_end": lowestEnd(status.EndedRuns), "runs_listed": len(status.Running),
 		})
 	}
 	w.statusArrivedAt = arrived
@@ -316,7 +314,7 @@
 	if w.failedHolds > 0 && w.clock == 0 && (!w.registered || now > w.knownSince+maxOrderDelay+s.opts.LeaseDuration) {
 		s.removeAttempts(w, neverAnswered) // The starts were not answered and can no longer run.
 	}
-	if !w.accountedFor && now > s.ownerSince+time.Duration(float64(s.inheritedLease)/minClockRate)+leaseMargin {
+	if !w.accountedFor && w.failedHolds >= minUnansweredHolds && now > s.ownerSince+time.Duration(float64(s.inheritedLease)/minClockRate)+leaseMargin {
 		s.recordWaitExpired(w, now)
 		s.markAccountedFor(w)
 	}
