--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -45,7 +45,7 @@
 		}
 	}
 	if len(status.EndedRuns) < maxListedEnds {
-		s.removeUnlistedRuns(w, sent, listed, len(status.EndedRuns))
+		s.removeUnlisted(w, unlistedRuns(w, sent, listed), len(status.EndedRuns))
 		s.markAccountedFor(w)
 	}
 	s.checkUse(w)
@@ -54,17 +54,16 @@
 	s.flush()
 }
 
-// removeUnlistedRuns removes the runs that a worker's complete status lists neither as
-// running nor as ended. An order that was answered before the request for the status was
-// sent is reflected in it.
-func (s *Shard) removeUnlistedRuns(w *workerState, sent logicalTime, listed map[runKey]bool, endsListed int) {
-	var unlisted []*attempt
+// unlistedRuns returns the runs that a worker's complete status lists neither as running
+// nor as ended. An order that was answered before the request for the status was sent is
+// reflected in it.
+func unlistedRuns(w *workerState, sent logicalTime, listed map[runKey]bool) (unlisted []*attempt) {
 	for key, a := range w.attempts {
 		if !listed[key] && a.answeredAt > 0 && a.answeredAt < sent {
 			unlisted = append(unlisted, a)
 		}
 	}
-	s.removeWithoutEnd(w, unlisted, endsListed)
+	return unlisted
 }
 
 // applyRunningTask applies a run that a worker's status lists as running. A run that
--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -41,8 +41,8 @@
 	s.recordRestart(former, born, seenIn)
 	w := s.addWorker(former.info)
 	w.info.StartedUnixMs = born
-	w.trace = traceAfterRestart(former)
 	w.applyEntry(former.entry)
+	w.trace = traceAfterRestart(former)
 	w.registered, w.accountedFor, w.vacateUntil = former.registered, former.accountedFor, former.vacateUntil
 	w.rowQueued = true
 	s.journal.workerRows = append(s.journal.workerRows, w)
--- a/jobs/shard/traceends.go
+++ b/jobs/shard/traceends.go
@@ -54,8 +54,8 @@
 	return strings.Join(texts, " ")
 }
 
-// lowestEnd returns the lowest number in a list of ended runs, or 0 if it is empty.
-func lowestEnd(ends []worker.RunEnd) uint64 {
+// firstListedEnd returns the lowest number in a list of ended runs, or 0 if it is empty.
+func firstListedEnd(ends []worker.RunEnd) uint64 {
 	if len(ends) == 0 {
 		return 0
 	}
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -272,7 +272,7 @@
 		s.recordEvent(eventlog.WorkerJoined, eventlog.Fields{
 			"worker": w.info.ID, "zone": w.info.Zone, "rack": w.rack(), "known_for": (s.opts.Clock() - w.knownSince).String(),
 			"age": s.opts.WallClock().Sub(time.UnixMilli(w.info.StartedUnixMs)).String(), "recorded": w.rowCommitted,
-			"born": w.info.StartedUnixMs, "first_end": lowestEnd(status.EndedRuns), "runs_listed": len(status.Running),
+			"born": w.info.StartedUnixMs, "first_end": firstListedEnd(status.EndedRuns), "runs_listed": len(status.Running),
 		})
 	}
 	w.statusArrivedAt = arrived
