--- a/jobs/shard/traceends.go
+++ b/jobs/shard/traceends.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -57,10 +59,10 @@
 	if len(ends) == 0 {
 		return 0
 	}
-	return ends[0].Number
+	return slices.MinFunc(ends, func(a, b worker.RunEnd) int { return cmp.Compare(a.Number, b.Number) }).Number
 }
 
-// checkEndNumbers records the first gap in a list of ended runs. The first list that
+// checkEndNumbers records the first gap in a sorted list of ended runs. The first list that
 // an owner sees may begin at any number, since a former owner may have acknowledged
 // those before.
 func (s *Shard) checkEndNumbers(w *workerState, ends []worker.RunEnd) {
