Judge the age of a status by its request, and acknowledge each end once

A status that was on its way for 300 ms while its worker restarted counted as fresh when it arrived, and the acknowledgement that followed reached the next incarnation.

Cause: the age was measured from the arrival. Besides, every hold repeated the last acknowledgement, also those of an idle worker, so each restart met one.

Change: a request bounds from below when its status was taken, and the bound carries over to later statuses by the worker's clock, which may be slow and is never fast. The request that proves the incarnation must be answered within 100 ms. A number is sent only while the worker has not confirmed it. With over 100 stored ends that are not acknowledged, a slow proof is accepted, because each status lists them all.

--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -12,16 +12,62 @@
 // next one: an acknowledgement would make it forget ends that the owner has not seen, and
 // orders sent before the restart was noticed may have been carried out by either.
 
-// hold sends a hold. With confirm it first requests the status, and sends an acknowledgement
-// only if the incarnation that started at born is the one that replies.
-func (s *Shard) hold(ctx context.Context, to worker.Target, order worker.Hold, confirm bool, born int64) (worker.Status, error) {
-	if confirm {
-		status, err := s.opts.Workers.Hold(ctx, to, worker.Hold{Fence: order.Fence})
-		if err != nil || status.StartedUnixMs != born {
-			return status, err
+// incarnationProof says how a hold has to prove that it reaches the incarnation whose ends it
+// acknowledges.
+type incarnationProof struct {
+	born int64 // Start time of the incarnation.
+	// confirm is set if the last status is too old to prove it.
+	confirm bool
+	// overdue is set if so many ends are not acknowledged that a slow proof is accepted.
+	overdue bool
+}
+
+// proofFor returns the proof that an acknowledgement requires now.
+func (w *workerState) proofFor(order worker.Hold, now time.Duration) incarnationProof {
+	return incarnationProof{
+		born:    w.info.StartedUnixMs,
+		confirm: order.AckedUpTo > 0 && now-w.statusTakenAt > maxIncarnationAge,
+		overdue: w.lastCommittedEnd-w.ackedEnd > maxUnacknowledgedEnds,
+	}
+}
+
+// statusReply is a status that was requested at a time on the shard's clock.
+type statusReply struct {
+	worker.Status
+	requestedAt time.Duration
+	acked       bool // The request acknowledged ends.
+}
+
+// hold sends a hold. If a proof is required, it first requests the status, and acknowledges
+// nothing if another incarnation replies or the reply takes so long that the worker may have
+// restarted meanwhile.
+func (s *Shard) hold(ctx context.Context, to worker.Target, order worker.Hold, proof incarnationProof) (statusReply, error) {
+	if proof.confirm {
+		first, err := s.request(ctx, to, worker.Hold{Fence: order.Fence, LeaseExpiry: order.LeaseExpiry})
+		late := s.opts.Clock()-first.requestedAt > maxIncarnationAge && !proof.overdue
+		if err != nil || late || first.StartedUnixMs != proof.born {
+			return first, err
 		}
 	}
-	return s.opts.Workers.Hold(ctx, to, order)
+	return s.request(ctx, to, order)
+}
+
+func (s *Shard) request(ctx context.Context, to worker.Target, order worker.Hold) (statusReply, error) {
+	requestedAt := s.opts.Clock()
+	status, err := s.opts.Workers.Hold(ctx, to, order)
+	return statusReply{status, requestedAt, err == nil && order.AckedUpTo > 0}, err
+}
+
+// noteStatusTime stores when a status was taken at the earliest, on the shard's clock. A
+// status that was on its way for long, or was handled late, is older than its arrival tells.
+// A worker's clock may be slow and is never fast, so a time that follows from an earlier
+// request is too early rather than too late.
+func (w *workerState) noteStatusTime(reply statusReply) {
+	offset := reply.requestedAt - reply.ClockTime
+	if w.statusTakenAt == 0 || offset > w.clockOffset {
+		w.clockOffset = offset
+	}
+	w.statusTakenAt = reply.ClockTime + w.clockOffset
 }
 
 // reportingIncarnation returns the state of the incarnation that started at born and has
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -130,9 +130,12 @@
 	// maxRenewalInterval is the time since the last hold after which a lease is renewed
 	// even if the ends of runs are not committed yet.
 	maxRenewalInterval = 700 * time.Millisecond
-	// maxIncarnationAge is the age of a worker's last status up to which the worker is taken
-	// to be the same incarnation. A worker takes longer to restart and to complete a run.
+	// maxIncarnationAge is the age of a worker's status up to which the worker is taken to
+	// be the same incarnation. A worker takes longer to restart and to complete a run.
 	maxIncarnationAge = 100 * time.Millisecond
+	// maxUnacknowledgedEnds is the number of stored ends without an acknowledgement from
+	// which a proof of the incarnation may take longer. Each status lists all of them.
+	maxUnacknowledgedEnds = 100
 	// minClockRate is the slowest rate of a worker's clock relative to real time.
 	minClockRate = 0.98
 	// minUnansweredHolds is the number of consecutive holds without a reply from which a
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -247,7 +247,10 @@
 	// lastStatusClock is the worker's clock in the last status that was applied.
 	lastStatusClock worker.ClockTime
 	lastStatusAt    time.Duration // When that status was applied.
-	statusArrivedAt time.Duration // When the last status arrived.
+	statusTakenAt   time.Duration // When that status was taken at the earliest.
+	clockOffset     time.Duration // Lower bound of the shard's clock minus the worker's clock.
+	ackedEnd        uint64        // Number up to which the worker has confirmed an acknowledgement.
+	ackPostponed    bool          // The last hold could not prove the incarnation.
 	holdRepliedAt   time.Duration // When the last hold was answered.
 	// endWindow is how long before the clock of that status its ends may have happened.
 	endWindow time.Duration
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -162,7 +162,7 @@
 	if w.holdInFlight || !s.canAct() || s.workers[w.info.ID] != w {
 		return
 	}
-	if w.lastAppliedEnd > w.lastCommittedEnd && now-w.holdSentAt < maxRenewalInterval {
+	if (w.lastAppliedEnd > w.lastCommittedEnd || w.ackPostponed) && now-w.holdSentAt < maxRenewalInterval {
 		return // When the commit in flight completes, it sends a hold that acknowledges the ends.
 	}
 	order := worker.Hold{Fence: s.opts.Fence}
@@ -170,8 +170,10 @@
 	// acknowledgement. It might receive the renewal although its reply is lost, which would
 	// delay the restart of its tasks on other workers, and it might have restarted.
 	if w.clock > 0 && w.failedHolds == 0 {
-		order.AckedUpTo = w.lastCommittedEnd
-		w.trace.noteAcknowledged(order.AckedUpTo)
+		if w.lastCommittedEnd > w.ackedEnd {
+			order.AckedUpTo = w.lastCommittedEnd
+			w.trace.noteAcknowledged(order.AckedUpTo)
+		}
 		order.LeaseExpiry = max(w.minClockNow(now)+s.opts.LeaseDuration, w.maxLeaseExpiry)
 		w.maxLeaseExpiry = order.LeaseExpiry
 		order.Wait = holdWait
@@ -182,14 +184,18 @@
 		}
 	}
 	w.holdInFlight, w.holdSentAt = true, now
-	sent, to, confirm := s.nextLogicalTime(), w.target(), order.AckedUpTo > 0 && now-w.statusArrivedAt > maxIncarnationAge
-	born := w.info.StartedUnixMs
+	sent, to, proof := s.nextLogicalTime(), w.target(), w.proofFor(order, now)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), order.Wait+holdTimeout)
 		defer cancel()
-		status, err := s.hold(ctx, to, order, confirm, born)
-		arrived := s.opts.Clock()
-		s.opts.Loop.Post(func() { s.handleHoldReply(w, sent, arrived, status, err) })
+		reply, err := s.hold(ctx, to, order, proof)
+		s.opts.Loop.Post(func() {
+			if reply.acked {
+				w.ackedEnd = max(w.ackedEnd, order.AckedUpTo)
+			}
+			w.ackPostponed = err == nil && w.ackedEnd < order.AckedUpTo
+			s.handleHoldReply(w, sent, reply, err)
+		})
 	}()
 }
 
@@ -235,11 +241,10 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
-		status, err := s.opts.Workers.Hold(ctx, to, order)
-		arrived := s.opts.Clock()
+		reply, err := s.request(ctx, to, order)
 		s.opts.Loop.Post(func() {
 			if err == nil && !s.stopped && s.workers[w.info.ID] == w {
-				if current := s.handleStatus(w, sent, arrived, status); current != w {
+				if current := s.handleStatus(w, sent, reply); current != w {
 					s.sendHold(current)
 				}
 			}
@@ -250,7 +255,7 @@
 }
 
 // handleHoldReply applies the reply to a hold and sends the next one.
-func (s *Shard) handleHoldReply(w *workerState, sent logicalTime, arrived time.Duration, status worker.Status, err error) {
+func (s *Shard) handleHoldReply(w *workerState, sent logicalTime, reply statusReply, err error) {
 	w.holdInFlight, w.holdRepliedAt = false, s.opts.Clock()
 	if s.stopped || s.workers[w.info.ID] != w {
 		return
@@ -260,12 +265,12 @@
 		return
 	}
 	w.failedHolds = 0
-	s.sendHold(s.handleStatus(w, sent, arrived, status))
+	s.sendHold(s.handleStatus(w, sent, reply))
 }
 
-// handleStatus applies a status that arrived at the given time. It returns the state of the
-// incarnation that reported it.
-func (s *Shard) handleStatus(w *workerState, sent logicalTime, arrived time.Duration, status worker.Status) *workerState {
+// handleStatus applies a status and returns the state of the incarnation that reported it.
+func (s *Shard) handleStatus(w *workerState, sent logicalTime, reply statusReply) *workerState {
+	status := reply.Status
 	w = s.reportingIncarnation(w, status.StartedUnixMs)
 	first := w.clock == 0
 	if first {
@@ -278,7 +283,7 @@
 	if w.restarted && w.lastStatusClock == 0 {
 		w.formerLeaseExpiry = status.ClockTime + s.maxLease()
 	}
-	w.statusArrivedAt = arrived
+	w.noteStatusTime(reply)
 	w.updateClock(status.ClockTime, s.opts.Clock())
 	s.applyStatus(w, sent, status)
 	return w
