Judge the age of a status by when it was taken, not by when it arrived

What callers saw: TWICE, a task started again on the same worker after its run had ended as done.

Cause: a status counted as fresh from its arrival. If it was on its way for long and the worker restarted meanwhile, the acknowledgement that followed reached the next incarnation. The same could happen after the status request that precedes a later acknowledgement.

Change: the time at which a status was taken follows from the worker's clock and the smallest difference to it that was seen. An acknowledgement is left out if the request before it took longer than maxIncarnationAge.

--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -13,10 +13,14 @@
 // orders sent before the restart was noticed may have been carried out by either.
 
 // hold sends a hold. With confirm it first requests the status, and sends an acknowledgement
-// only if the incarnation that started at born is the one that replies.
+// only if the incarnation that started at born is the one that replies, and soon.
 func (s *Shard) hold(ctx context.Context, to worker.Target, order worker.Hold, confirm bool, born int64) (worker.Status, error) {
 	if confirm {
+		asked := s.opts.Clock()
 		status, err := s.opts.Workers.Hold(ctx, to, worker.Hold{Fence: order.Fence})
+		if s.opts.Clock()-asked > maxIncarnationAge {
+			order.AckedUpTo = 0
+		}
 		if err != nil || status.StartedUnixMs != born {
 			return status, err
 		}
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -247,8 +247,12 @@
 	// lastStatusClock is the worker's clock in the last status that was applied.
 	lastStatusClock worker.ClockTime
 	lastStatusAt    time.Duration // When that status was applied.
-	statusArrivedAt time.Duration // When the last status arrived.
-	holdRepliedAt   time.Duration // When the last hold was answered.
+	// statusTakenAt is when the worker took its last status, judged by its clock, and
+	// clockOffset is the smallest difference seen between the arrival of a status and the
+	// worker's clock in it.
+	statusTakenAt time.Duration
+	clockOffset   time.Duration
+	holdRepliedAt time.Duration // When the last hold was answered.
 	// endWindow is how long before the clock of that status its ends may have happened.
 	endWindow time.Duration
 	// doubtful is set if the worker is slow or has not completed a run recently. It is
@@ -269,6 +273,15 @@
 	return w.clock + time.Duration(float64(now-w.clockReadAt)*minClockRate)
 }
 
+// noteStatusTime stores when a status was taken that arrived at the given time. It may have
+// been on its way for long, and the worker may have restarted since it was taken.
+func (w *workerState) noteStatusTime(clock worker.ClockTime, arrived time.Duration) {
+	if offset := arrived - clock; w.statusTakenAt == 0 || offset < w.clockOffset {
+		w.clockOffset = offset
+	}
+	w.statusTakenAt = clock + w.clockOffset
+}
+
 // leaseExpiry returns the latest time at which the worker's lease expires, on the
 // shard's clock.
 func (w *workerState) leaseExpiry() time.Duration {
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -182,7 +182,7 @@
 		}
 	}
 	w.holdInFlight, w.holdSentAt = true, now
-	sent, to, confirm := s.nextLogicalTime(), w.target(), order.AckedUpTo > 0 && now-w.statusArrivedAt > maxIncarnationAge
+	sent, to, confirm := s.nextLogicalTime(), w.target(), order.AckedUpTo > 0 && now-w.statusTakenAt > maxIncarnationAge
 	born := w.info.StartedUnixMs
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), order.Wait+holdTimeout)
@@ -278,7 +278,7 @@
 	if w.restarted && w.lastStatusClock == 0 {
 		w.formerLeaseExpiry = status.ClockTime + s.maxLease()
 	}
-	w.statusArrivedAt = arrived
+	w.noteStatusTime(status.ClockTime, arrived)
 	w.updateClock(status.ClockTime, s.opts.Clock())
 	s.applyStatus(w, sent, status)
 	return w
