--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -138,6 +138,9 @@
 		delay = f.replyDelay(id)
 	}
 	f.mu.Unlock()
+	if delay == 0 {
+		return nil
+	}
 	select {
 	case <-time.After(delay):
 		return nil
