Unanswered starts are kept when a restarted worker leaves the registry

What callers saw: nothing recorded; found by reading the ways on which a run is removed. A start without a reply may still reach the next incarnation of its worker. The owner keeps such a run until the order can no longer be carried out, but removed it after one unanswered hold if the registry did not list the new incarnation. A worker can be missing there while it is alive, for example while the store is down. The task started elsewhere, and the delayed start ran too.

Evidence: TestStartReachesUnregisteredIncarnation, which failed before the change with 'run 1 starts on w0 while run 2 is on w1'.

--- a/jobs/shard/takeover_test.go
+++ b/jobs/shard/takeover_test.go
@@ -85,6 +85,42 @@
 	})
 }
 
+// Guards against a second run of a task whose start was delayed, while the next incarnation
+// of its worker replies to nothing and is missing in the registry.
+func TestStartReachesUnregisteredIncarnation(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(2)
+		r.fleet.DeliverToNewIncarnation, r.fleet.Delay = true, 3*time.Second
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		var restarted worker.ID
+		r.fleet.SetFault(func(id worker.ID, order string) workertest.Fault {
+			switch {
+			case order == "start" && restarted == "":
+				restarted = id
+				return workertest.Delayed
+			case id == restarted:
+				return workertest.RequestLost
+			}
+			return workertest.NoFault
+		})
+		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 4 * time.Second} })
+		assert.Equal(t, r.submit(o, simpleJob(1, 1)).Code, OK)
+		time.Sleep(50 * time.Millisecond)
+		infos := slices.Clone(r.workerInfos)
+		i := slices.IndexFunc(infos, func(w worker.Info) bool { return w.ID == restarted })
+		infos[i].StartedUnixMs++
+		r.fleet.Add(infos[i])
+		r.callOnLoop(func() { o.SetWorkers(infos) })
+		time.Sleep(100 * time.Millisecond)
+		r.callOnLoop(func() { o.SetWorkers(slices.Delete(slices.Clone(infos), i, i+1)) })
+		time.Sleep(20 * time.Second)
+		r.fleet.SetFault(nil)
+		r.callOnLoop(func() { o.SetWorkers(infos) })
+		r.awaitState(o, 1, job.Completed, 20*time.Second)
+	})
+}
+
 // Guards against interrupting more tasks of a step than permitted after a takeover,
 // because a run that the former owner was stopping still looks available.
 func TestTakeoverDuringStopsOfFormerOwner(t *testing.T) {
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -311,7 +311,7 @@
 	if w.leaseExpired(now) {
 		s.confirmLeaseExpiry(w)
 	}
-	if w.failedHolds > 0 && w.clock == 0 && (!w.registered || now > w.knownSince+maxOrderDelay+s.opts.LeaseDuration) {
+	if w.failedHolds > 0 && w.clock == 0 && now > w.knownSince+maxOrderDelay+s.opts.LeaseDuration {
 		s.removeAttempts(w) // The starts were not answered and can no longer run.
 	}
 	if !w.accountedFor && w.failedHolds >= minUnansweredHolds && now > s.ownerSince+time.Duration(float64(s.inheritedLease)/minClockRate)+leaseMargin {
