--- a/jobs/shard/takeover_test.go
+++ b/jobs/shard/takeover_test.go
@@ -107,8 +107,8 @@
 		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 4 * time.Second} })
 		assert.Equal(t, r.submit(o, simpleJob(1, 1)).Code, OK)
 		time.Sleep(50 * time.Millisecond)
-		infos := slices.Clone(r.workerInfos)
-		i := slices.IndexFunc(infos, func(w worker.Info) bool { return w.ID == restarted })
+		infos, i := slices.Clone(r.workerInfos), 0
+		r.fleet.WithLock(func() { i = slices.IndexFunc(infos, func(w worker.Info) bool { return w.ID == restarted }) })
 		infos[i].StartedUnixMs++
 		r.fleet.Add(infos[i])
 		r.callOnLoop(func() { o.SetWorkers(infos) })
