--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -162,43 +162,65 @@
 	if w.holdInFlight || !s.canAct() || s.workers[w.info.ID] != w {
 		return
 	}
-	if (w.lastAppliedEnd > w.lastCommittedEnd || w.ackPostponed) && now-w.holdSentAt < maxRenewalInterval {
+	if w.lastAppliedEnd > w.lastCommittedEnd && now-w.holdSentAt < maxRenewalInterval {
 		return // When the commit in flight completes, it sends a hold that acknowledges the ends.
 	}
+	unacknowledged := w.lastCommittedEnd - w.ackedEnd
+	confirm := unacknowledged > 0 && unacknowledged <= maxUnacknowledgedEnds && s.mayHaveUnseenEnds(w, now)
+	if confirm && now-w.checkSentAt < holdRetryDelay {
+		return
+	}
 	order := worker.Hold{Fence: s.opts.Fence}
 	// A worker that did not reply is queried without renewing its lease and without an
 	// acknowledgement. It might receive the renewal although its reply is lost, which would
 	// delay the restart of its tasks on other workers, and it might have restarted.
 	if w.clock > 0 && w.failedHolds == 0 {
-		if w.lastCommittedEnd > w.ackedEnd {
-			order.AckedUpTo = w.lastCommittedEnd
-			w.trace.noteAcknowledged(order.AckedUpTo)
-		}
 		order.LeaseExpiry = max(w.minClockNow(now)+s.opts.LeaseDuration, w.maxLeaseExpiry)
 		w.maxLeaseExpiry = order.LeaseExpiry
-		order.Wait = holdWait
-		if len(w.attempts) == 0 {
-			order.Wait = holdWaitIdle
-		} else if c := w.colocation(); c.hasServing && len(c.bestEffort) > 0 {
-			order.Wait = colocatedHoldWait
+		if confirm {
+			w.checkSentAt = now
+		} else {
+			order.Wait = s.holdWait(w)
+			order.AckedUpTo = w.acknowledgeUpTo()
 		}
 	}
 	w.holdInFlight, w.holdSentAt = true, now
-	sent, to, proof := s.nextLogicalTime(), w.target(), w.proofFor(order, now)
+	sent, to := s.nextLogicalTime(), w.target()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), order.Wait+holdTimeout)
 		defer cancel()
-		reply, err := s.hold(ctx, to, order, proof)
+		reply, err := s.request(ctx, to, order)
 		s.opts.Loop.Post(func() {
-			if reply.acked {
+			if err == nil {
 				w.ackedEnd = max(w.ackedEnd, order.AckedUpTo)
 			}
-			w.ackPostponed = err == nil && w.ackedEnd < order.AckedUpTo
 			s.handleHoldReply(w, sent, reply, err)
 		})
 	}()
 }
 
+// holdWait returns how long the worker may delay its reply to a hold.
+func (s *Shard) holdWait(w *workerState) time.Duration {
+	if len(w.attempts) == 0 {
+		return holdWaitIdle
+	}
+	if c := w.colocation(); c.hasServing && len(c.bestEffort) > 0 {
+		return colocatedHoldWait
+	}
+	return holdWait
+}
+
+// acknowledgeUpTo returns the number up to which the next hold acknowledges ends, or 0 if
+// the worker has confirmed the last acknowledgement. Repeated, it would reach the next
+// incarnation.
+func (w *workerState) acknowledgeUpTo() uint64 {
+	if w.lastCommittedEnd == w.ackedEnd {
+		return 0
+	}
+	w.trace.noteAcknowledged(w.lastCommittedEnd)
+	return w.lastCommittedEnd
+}
+
 // requestStatus requests a worker's status immediately, in addition to a hold that is
 // waiting for a run to end. If the request fails, runs with an uncertain start are
 // stopped.
