Soak: restarted workers, processes short of CPU, owners cut off from workers

The soak could not show a worker that restarts under its ID while its hold in flight stays silent: its stand-in registered the new incarnation at once. New kinds of faults: "restart" (up to half of a pool's workers restart; calls in flight get no reply or a closed connection; the registry follows after a heartbeat interval), "starve" (a process is suspended for 80 of every 100 ms) and "cut" (the owner of a pool is cut off from its workers). A pause lasts 1 to 8 s. Faults of processes choose the owner of a pool half of the time. Options set the number of pools and workers and the capacity of a worker. The clock of a restarted worker starts anew, and workers shorten leases beyond max_hold, as the protocol says.

--- a/testbed/soak/callers.go
+++ b/testbed/soak/callers.go
@@ -130,7 +130,7 @@
 // the key, and returns status and body. The status is 0 when no complete response arrives.
 func (c *callers) sendRequest(rng *rand.Rand, method string, id job.ID, key string, body []byte) (int, []byte) {
 	p := c.run.processes[rng.IntN(len(c.run.processes))]
-	request, err := http.NewRequest(method, "http://"+p.callersAddress+prefix+string(id), bytes.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+p.callersAddress+poolPath(c.run.poolOf(id))+string(id), bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
@@ -156,27 +156,40 @@
 
 // awaitCompletion waits until all accepted jobs are completed, and records a violation for each
 // that is not before the limit. It also checks that no refused job ran.
-func (c *callers) awaitCompletion(limit time.Duration, rng *rand.Rand) {
+func (c *callers) awaitCompletion(limit time.Duration, seed uint64) {
 	deadline := time.Now().Add(limit)
-	for _, s := range c.jobs {
-		for s.accepted {
-			status, data := c.sendRequest(rng, http.MethodGet, s.id, c.run.keys.valid(s.workspace, rng), nil)
-			if status == http.StatusOK && bytes.Contains(data, []byte(`"completed"`)) {
-				break
+	var group sync.WaitGroup
+	for n := range completionCheckers {
+		group.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(99+n)))
+			for i := n; i < len(c.jobs); i += completionCheckers {
+				c.awaitJob(c.jobs[i], deadline, rng)
 			}
-			if status == http.StatusGone {
-				c.recordViolation("job %s was accepted, but its status is gone", s.id)
-				break
-			}
-			if time.Now().After(deadline) {
-				c.recordViolation("job %s was accepted, but is not completed: status %d %s", s.id, status, data)
-				break
-			}
-			time.Sleep(retryPause)
+		})
+	}
+	group.Wait()
+}
+
+// awaitJob waits until a job is completed if it was accepted, and checks that it did not run
+// if it was refused.
+func (c *callers) awaitJob(s *submission, deadline time.Time, rng *rand.Rand) {
+	for s.accepted {
+		status, data := c.sendRequest(rng, http.MethodGet, s.id, c.run.keys.valid(s.workspace, rng), nil)
+		if status == http.StatusOK && bytes.Contains(data, []byte(`"completed"`)) {
+			break
+		}
+		if status == http.StatusGone {
+			c.recordViolation("job %s was accepted, but its status is gone", s.id)
+			break
 		}
-		if starts := c.run.platform.Fleet.Starts(job.TaskRef{Job: s.id}); s.refused && starts > 0 {
-			c.recordViolation("job %s was refused, but ran", s.id)
+		if time.Now().After(deadline) {
+			c.recordViolation("job %s was accepted, but is not completed: status %d %s", s.id, status, data)
+			break
 		}
+		time.Sleep(retryPause)
+	}
+	if starts := c.run.platform.Fleet.Starts(job.TaskRef{Job: s.id}); s.refused && starts > 0 {
+		c.recordViolation("job %s was refused, but ran", s.id)
 	}
 }
 
--- a/testbed/soak/demo.go
+++ b/testbed/soak/demo.go
@@ -102,7 +102,7 @@
 		return err
 	}
 	for pool := range demoPools {
-		if err := d.platform.AddWorkers(demoPoolName(pool), demoPoolWorkers); err != nil {
+		if err := d.platform.AddWorkers(demoPoolName(pool), demoPoolWorkers, standin.Capacity); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/testbed/soak/faults.go
@@ -0,0 +1,223 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"peridotcrank.dev/jobs/rows"
+	"peridotcrank.dev/jobs/rows/rowstest"
+	"peridotcrank.dev/jobs/worker"
+	"peridotcrank.dev/jobs/worker/workertest"
+	"peridotcrank.dev/testbed/standin"
+)
+
+const (
+	meanFaultGap       = 1200 * time.Millisecond
+	maxFaultDuration   = 6 * time.Second
+	minFaultDuration   = 300 * time.Millisecond
+	minPause           = time.Second
+	maxPause           = 8 * time.Second
+	faultyCallInterval = 3 // One in this many commits and orders gets the fault in force.
+	// heartbeatInterval is the time after which the registry lists a restarted worker.
+	heartbeatInterval = 1500 * time.Millisecond
+	// headTable is the table in which the owner of each pool is recorded.
+	headTable = "head"
+)
+
+func (r *run) installFaults() {
+	var commits, orders atomic.Uint64
+	r.platform.Store.SetFault(func(rows.Tx) rowstest.Fault {
+		if commits.Add(1)%faultyCallInterval != 0 {
+			return rowstest.NoFault
+		}
+		return rowstest.Fault(r.storeFault.Load())
+	})
+	r.platform.Fleet.SetFault(func(worker.ID, string) workertest.Fault {
+		if orders.Add(1)%faultyCallInterval != 0 {
+			return workertest.NoFault
+		}
+		return workertest.Fault(r.orderFault.Load())
+	})
+}
+
+// injectFault starts a random fault, which ends after a random time. Faults can overlap.
+func (r *run) injectFault(rng *rand.Rand, faults *sync.WaitGroup) {
+	starters := r.faultStarters(rng)
+	names := r.options.Faults
+	if len(names) == 0 {
+		names = faultNames
+	}
+	name := names[rng.IntN(len(names))]
+	duration := randomDuration(rng, minFaultDuration, maxFaultDuration)
+	switch name {
+	case outageFault:
+		duration = maxFaultDuration
+	case pauseFault:
+		duration = randomDuration(rng, minPause, maxPause)
+	}
+	startFault := starters[name]
+	if startFault == nil {
+		return
+	}
+	target, endFault := startFault()
+	r.logFault("%s %s for %v", name, target, duration.Round(time.Millisecond))
+	faults.Go(func() {
+		time.Sleep(duration)
+		endFault()
+	})
+}
+
+func randomDuration(rng *rand.Rand, shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(rng.Int64N(int64(longest-shortest)))
+}
+
+var faultNames = []string{
+	pauseFault, "starve", "kill", "stop", "link", "reset", "store", "orders", "dark", "cut", "reborn", "restart", "configuration", "keys", outageFault,
+}
+
+// pauseFault suspends a process. It can last longer than the leases of workers.
+const pauseFault = "pause"
+
+// outageFault disconnects all processes from the store. It always lasts maxFaultDuration, so
+// that calls are sent later than revokeTime after the key that it removes.
+const outageFault = "outage"
+
+// faultStarters returns the functions that start each kind of fault, by name, for a random
+// process and worker. Such a function returns the target of the fault and a function that
+// ends the fault.
+func (r *run) faultStarters(rng *rand.Rand) map[string]func() (string, func()) {
+	pool := poolName(rng.IntN(r.options.Pools))
+	p := r.chooseProcess(rng, pool)
+	workerNumber := rng.IntN(r.options.Workers)
+	id := workerID(pool, workerNumber)
+	faultNumber := rng.IntN(1 << 20)
+	noop := func() {}
+	restart := func() {
+		if err := p.start(); err != nil {
+			r.callers.recordViolation("restart process: %v", err)
+		}
+	}
+	return map[string]func() (string, func()){
+		pauseFault: func() (string, func()) {
+			p.signal(syscall.SIGSTOP)
+			return p.name, func() { p.signal(syscall.SIGCONT) }
+		},
+		"starve": func() (string, func()) {
+			ctx, cancel := context.WithCancel(context.Background())
+			go p.starve(ctx)
+			return p.name, cancel
+		},
+		"kill": func() (string, func()) {
+			p.terminate(syscall.SIGKILL, killTimeout)
+			restart()
+			return p.name, noop
+		},
+		"stop": func() (string, func()) {
+			began := time.Now()
+			if p.terminate(syscall.SIGTERM, gracefulStopTimeout) && !p.wasSuspendedSince(began) {
+				r.callers.recordViolation("%s did not stop within %v", p.name, gracefulStopTimeout)
+			}
+			restart()
+			return p.name, noop
+		},
+		"link": func() (string, func()) {
+			fault := linkFault(1 + faultNumber%int(linkFaults-1))
+			p.storeProxy.setFault(fault)
+			return fmt.Sprintf("%s %d", p.name, fault), func() { p.storeProxy.setFault(linkHealthy) }
+		},
+		outageFault: func() (string, func()) {
+			r.setStoreLinks(linkDropAll)
+			r.replaceKey(0)
+			return workspaceName(0), func() { r.setStoreLinks(linkHealthy) }
+		},
+		"reset": func() (string, func()) { p.storeProxy.reset(); return p.name, noop },
+		"store": func() (string, func()) {
+			r.storeFault.Store(int32(1 + faultNumber%int(rowstest.Delayed)))
+			return fmt.Sprint(r.storeFault.Load()), func() { r.storeFault.Store(0) }
+		},
+		"orders": func() (string, func()) {
+			r.orderFault.Store(int32(1 + faultNumber%int(workertest.RequestLost)))
+			return fmt.Sprint(r.orderFault.Load()), func() { r.orderFault.Store(0) }
+		},
+		"dark": func() (string, func()) {
+			r.platform.Fleet.SetPartitioned(id, true)
+			return string(id), func() { r.platform.Fleet.SetPartitioned(id, false) }
+		},
+		"cut": func() (string, func()) {
+			r.platform.CutOwner(pool)
+			return pool, func() { r.platform.ReconnectOwner(pool) }
+		},
+		"reborn": func() (string, func()) {
+			r.restartWorker(id, standin.Restart{})
+			return string(id), noop
+		},
+		"restart": func() (string, func()) {
+			restart := standin.Restart{CloseConnections: faultNumber%2 == 0, RegisterAfter: heartbeatInterval}
+			count := 1 + faultNumber/2%max(r.options.Workers/2, 1)
+			for i := range count {
+				r.restartWorker(workerID(pool, (workerNumber+i)%r.options.Workers), restart)
+			}
+			return fmt.Sprintf("%d workers from %s on, connections closed %v", count, id, restart.CloseConnections), noop
+		},
+		"configuration": func() (string, func()) {
+			if err := r.configure(); err != nil {
+				r.callers.recordViolation("configure: %v", err)
+			}
+			return fmt.Sprint(r.version), noop
+		},
+		"keys": func() (string, func()) {
+			workspace := faultNumber % workspaceCount
+			r.replaceKey(workspace)
+			return workspaceName(workspace), noop
+		},
+	}
+}
+
+func workerID(pool string, number int) worker.ID {
+	return worker.ID(fmt.Sprintf("w-%s-%d", pool, number))
+}
+
+func (r *run) restartWorker(id worker.ID, restart standin.Restart) {
+	if err := r.platform.RestartWorker(id, restart); err != nil {
+		r.callers.recordViolation("restart worker: %v", err)
+	}
+}
+
+// chooseProcess returns the owner of a pool or any process, each half of the time.
+func (r *run) chooseProcess(rng *rand.Rand, pool string) *process {
+	chosen := r.processes[rng.IntN(len(r.processes))]
+	if rng.IntN(2) == 0 {
+		return chosen
+	}
+	page, err := r.platform.Store.Read(context.Background(), headTable, pool, "")
+	if err != nil || len(page.Rows) == 0 {
+		return chosen
+	}
+	for _, p := range r.processes {
+		// The row names the owner as MEMBER/FENCE.
+		if bytes.Contains(page.Rows[0].Value, []byte(p.name+"/")) {
+			return p
+		}
+	}
+	return chosen
+}
+
+// setStoreLinks applies a fault to the connections of all processes to the store.
+func (r *run) setStoreLinks(fault linkFault) {
+	for _, p := range r.processes {
+		p.storeProxy.setFault(fault)
+	}
+}
+
+// replaceKey removes the older key of a workspace and adds a new one.
+func (r *run) replaceKey(workspace int) {
+	if err := r.keys.replace(workspace, r.writeConfig); err != nil {
+		r.callers.recordViolation("configure: %v", err)
+	}
+}
--- a/testbed/soak/process.go
+++ b/testbed/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -10,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"peridotcrank.dev/testbed/standin"
 )
 
 // process is a process of the program under test, with a proxy of its own to the store.
@@ -22,8 +25,9 @@
 	readyAddress   string
 	storeProxy     *proxy
 
-	mu      sync.Mutex
-	command *exec.Cmd
+	mu          sync.Mutex
+	command     *exec.Cmd
+	suspendedAt time.Time // When it was last suspended.
 	// exited is closed while the program is not running.
 	exited chan struct{}
 }
@@ -40,7 +44,7 @@
   store: %s
   machines: "%s"
 leases:
-  max_hold: 6s
+  max_hold: %s
 timing:
   grace: 6s
   keep_ended: 120s
@@ -72,7 +76,7 @@
 	}
 	p := &process{name: name, binary: binary, settingsFile: filepath.Join(dir, name+".yaml"), callersAddress: ports[0], readyAddress: ports[1], storeProxy: storeProxy, exited: make(chan struct{})}
 	close(p.exited)
-	settings := fmt.Sprintf(settingsTemplate, name, ports[0], ports[1], ports[2], ports[3], storeProxy.address(), machines)
+	settings := fmt.Sprintf(settingsTemplate, name, ports[0], ports[1], ports[2], ports[3], storeProxy.address(), machines, standin.MaxLease)
 	if withKeys {
 		settings += fmt.Sprintf(keysTemplate, revokeTime)
 	}
@@ -92,6 +96,13 @@
 	portsPerSoak = 100
 )
 
+const (
+	// starvedSuspension and starvedTurn are how long a process short of CPU is suspended
+	// and runs in turn.
+	starvedSuspension = 80 * time.Millisecond
+	starvedTurn       = 20 * time.Millisecond
+)
+
 var portsTaken atomic.Int32
 
 func freeAddress() (string, error) {
@@ -133,10 +144,30 @@
 	select {
 	case <-p.exited:
 	default:
+		if s == syscall.SIGSTOP {
+			p.suspendedAt = time.Now()
+		}
 		p.command.Process.Signal(s) // It fails only when the process has just exited.
 	}
 }
 
+// starve suspends the process for most of the time until ctx ends, as on a VM short of CPU.
+func (p *process) starve(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.signal(syscall.SIGSTOP)
+		pause(ctx, starvedSuspension)
+		p.signal(syscall.SIGCONT)
+		pause(ctx, starvedTurn)
+	}
+}
+
+// wasSuspendedSince reports whether the process was suspended after a time.
+func (p *process) wasSuspendedSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspendedAt.After(t)
+}
+
 // terminate ends the process with a signal and kills it when it has not exited before the
 // limit. It reports whether it killed the process.
 func (p *process) terminate(s syscall.Signal, limit time.Duration) (forced bool) {
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,9 +14,6 @@
 	"time"
 
 	"peridotcrank.dev/jobs/job"
-	"peridotcrank.dev/jobs/rows"
-	"peridotcrank.dev/jobs/rows/rowstest"
-	"peridotcrank.dev/jobs/worker"
 	"peridotcrank.dev/jobs/worker/workertest"
 	"peridotcrank.dev/testbed/standin"
 )
@@ -25,6 +24,9 @@
 	Dir       string        // For settings and logs. Required.
 	Seed      uint64        // Determines faults and load.
 	Processes int           // Default 4.
+	Pools     int           // Each with its own queue. Default 1, at most 16.
+	Workers   int           // Of each pool. Default 6.
+	WorkerCPU int64         // Capacity of each worker in thousandths of a core. Default 8,000.
 	Duration  time.Duration // Of the load with faults. Default 15 s.
 	// WithoutWorkspaces runs a site whose calls need no keys.
 	WithoutWorkspaces bool
@@ -35,23 +37,18 @@
 }
 
 const (
-	pool   = "pool-a"
-	queue  = "queue-a"
-	host   = "jobs.example"
-	prefix = "/jobs/"
+	host = "jobs.example"
 
-	workerCount         = 6
-	senderCount         = 3
+	defaultPools        = 1
+	defaultWorkers      = 6
+	sendersPerPool      = 3
+	completionCheckers  = 4
 	defaultProcesses    = 4
 	defaultDuration     = 15 * time.Second
 	readyTimeout        = 15 * time.Second
 	killTimeout         = 1500 * time.Millisecond
 	gracefulStopTimeout = 6 * time.Second
 	completionTimeout   = 45 * time.Second
-	meanFaultGap        = 1200 * time.Millisecond
-	maxFaultDuration    = 6 * time.Second
-	minFaultDuration    = 300 * time.Millisecond
-	faultyCallInterval  = 3 // One in this many commits and orders gets the fault in force.
 	maxTaskDuration     = 900 * time.Millisecond
 	minTaskDuration     = 100 * time.Millisecond
 	pollInterval        = 100 * time.Millisecond
@@ -78,12 +75,11 @@
 // jobs are completed and checks the guarantees. The error wraps [ErrBroken] when one was
 // broken, otherwise the soak could not start.
 func Run(o Options) error {
-	if o.Processes == 0 {
-		o.Processes = defaultProcesses
-	}
-	if o.Duration == 0 {
-		o.Duration = defaultDuration
-	}
+	o.Processes = cmp.Or(o.Processes, defaultProcesses)
+	o.Pools = cmp.Or(o.Pools, defaultPools)
+	o.Workers = cmp.Or(o.Workers, defaultWorkers)
+	o.WorkerCPU = cmp.Or(o.WorkerCPU, standin.Capacity.CPU)
+	o.Duration = cmp.Or(o.Duration, defaultDuration)
 	r := &run{options: o, startedAt: time.Now()}
 	if !o.WithoutWorkspaces {
 		r.keys = newKeyring()
@@ -94,7 +90,7 @@
 	}
 	stopProbes := r.startProbes()
 	r.runLoadWithFaults()
-	r.callers.awaitCompletion(completionTimeout, rand.New(rand.NewPCG(o.Seed, 99)))
+	r.callers.awaitCompletion(completionTimeout, o.Seed)
 	stopProbes()
 	return r.checkGuarantees()
 }
@@ -105,8 +101,11 @@
 		return err
 	}
 	r.installFaults()
-	if err := r.platform.AddWorkers(pool, workerCount); err != nil {
-		return err
+	capacity := job.Resources{CPU: r.options.WorkerCPU, MemoryMB: standin.Capacity.MemoryMB}
+	for pool := range r.options.Pools {
+		if err := r.platform.AddWorkers(poolName(pool), r.options.Workers, capacity); err != nil {
+			return err
+		}
 	}
 	if err := r.configure(); err != nil {
 		return err
@@ -125,6 +124,20 @@
 	return r.awaitFirstJob()
 }
 
+func poolName(pool int) string { return fmt.Sprintf("pool-%c", 'a'+pool) }
+
+// poolPath returns the path prefix of the pool's queue.
+func poolPath(pool int) string { return fmt.Sprintf("/jobs-%c/", 'a'+pool) }
+
+// poolOf returns the pool that runs a job, by the job's ID.
+func (r *run) poolOf(id job.ID) int {
+	digit, err := strconv.ParseUint(string(id[1:2]), 16, 8)
+	if err != nil {
+		panic(err) // Every job ID is hexadecimal.
+	}
+	return int(digit) % max(r.options.Pools, defaultPools)
+}
+
 func (r *run) planRun(task job.TaskRef, run int) workertest.RunPlan {
 	hash := uint64(run) + 0x9e3779b97f4a7c15
 	for _, c := range task.String() {
@@ -133,22 +146,6 @@
 	return workertest.RunPlan{Duration: minTaskDuration + time.Duration(hash>>16)%(maxTaskDuration-minTaskDuration)}
 }
 
-func (r *run) installFaults() {
-	var commits, orders atomic.Uint64
-	r.platform.Store.SetFault(func(rows.Tx) rowstest.Fault {
-		if commits.Add(1)%faultyCallInterval != 0 {
-			return rowstest.NoFault
-		}
-		return rowstest.Fault(r.storeFault.Load())
-	})
-	r.platform.Fleet.SetFault(func(worker.ID, string) workertest.Fault {
-		if orders.Add(1)%faultyCallInterval != 0 {
-			return workertest.NoFault
-		}
-		return workertest.Fault(r.orderFault.Load())
-	})
-}
-
 func (r *run) configure() error { return r.keys.configure(r.writeConfig) }
 
 // writeConfig writes a configuration with keys by workspace.
@@ -158,8 +155,14 @@
 	for workspace, list := range keys {
 		tenants = append(tenants, standin.Tenant{Name: workspaceName(workspace), Keys: list, CapCPU: r.options.CapCPU})
 	}
-	queues := []standin.Queue{{Name: queue, Host: host, Prefix: prefix, Pool: pool}}
-	return r.platform.Configure(r.version, []string{pool}, queues, tenants)
+	var pools []string
+	var queues []standin.Queue
+	for i := range r.options.Pools {
+		pool := poolName(i)
+		pools = append(pools, pool)
+		queues = append(queues, standin.Queue{Name: "queue-of-" + pool, Host: host, Prefix: poolPath(i), Pool: pool})
+	}
+	return r.platform.Configure(r.version, pools, queues, tenants)
 }
 
 // startProbes starts the checks that last until the returned function is called.
@@ -197,7 +200,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.options.Duration)
 	defer cancel()
 	var group sync.WaitGroup
-	for i := range senderCount {
+	for i := range sendersPerPool * r.options.Pools {
 		group.Go(func() { r.callers.submitJobs(ctx, rand.New(rand.NewPCG(r.options.Seed, uint64(10+i)))) })
 	}
 	rng := rand.New(rand.NewPCG(r.options.Seed, 1))
@@ -213,123 +216,6 @@
 	faults.Wait()
 }
 
-// injectFault starts a random fault, which ends after a random time. Faults can overlap.
-func (r *run) injectFault(rng *rand.Rand, faults *sync.WaitGroup) {
-	starters := r.faultStarters(rng)
-	names := r.options.Faults
-	if len(names) == 0 {
-		names = faultNames
-	}
-	name := names[rng.IntN(len(names))]
-	duration := minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
-	if name == outageFault {
-		duration = maxFaultDuration
-	}
-	startFault := starters[name]
-	if startFault == nil {
-		return
-	}
-	target, endFault := startFault()
-	r.logFault("%s %s for %v", name, target, duration.Round(time.Millisecond))
-	faults.Go(func() {
-		time.Sleep(duration)
-		endFault()
-	})
-}
-
-var faultNames = []string{"pause", "kill", "stop", "link", "reset", "store", "orders", "dark", "reborn", "configuration", "keys", outageFault}
-
-// outageFault disconnects all processes from the store. It always lasts maxFaultDuration, so
-// that calls are sent later than revokeTime after the key that it removes.
-const outageFault = "outage"
-
-// faultStarters returns the functions that start each kind of fault, by name, for a random
-// process and worker. Such a function returns the target of the fault and a function that
-// ends the fault.
-func (r *run) faultStarters(rng *rand.Rand) map[string]func() (string, func()) {
-	p := r.processes[rng.IntN(len(r.processes))]
-	id := worker.ID(fmt.Sprintf("w-%s-%d", pool, rng.IntN(workerCount)))
-	faultNumber := rng.IntN(1 << 20)
-	noop := func() {}
-	restart := func() {
-		if err := p.start(); err != nil {
-			r.callers.recordViolation("restart process: %v", err)
-		}
-	}
-	return map[string]func() (string, func()){
-		"pause": func() (string, func()) {
-			p.signal(syscall.SIGSTOP)
-			return p.name, func() { p.signal(syscall.SIGCONT) }
-		},
-		"kill": func() (string, func()) {
-			p.terminate(syscall.SIGKILL, killTimeout)
-			restart()
-			return p.name, noop
-		},
-		"stop": func() (string, func()) {
-			if p.terminate(syscall.SIGTERM, gracefulStopTimeout) {
-				r.callers.recordViolation("%s did not stop within %v", p.name, gracefulStopTimeout)
-			}
-			restart()
-			return p.name, noop
-		},
-		"link": func() (string, func()) {
-			fault := linkFault(1 + faultNumber%int(linkFaults-1))
-			p.storeProxy.setFault(fault)
-			return fmt.Sprintf("%s %d", p.name, fault), func() { p.storeProxy.setFault(linkHealthy) }
-		},
-		outageFault: func() (string, func()) {
-			r.setStoreLinks(linkDropAll)
-			r.replaceKey(0)
-			return workspaceName(0), func() { r.setStoreLinks(linkHealthy) }
-		},
-		"reset": func() (string, func()) { p.storeProxy.reset(); return p.name, noop },
-		"store": func() (string, func()) {
-			r.storeFault.Store(int32(1 + faultNumber%int(rowstest.Delayed)))
-			return fmt.Sprint(r.storeFault.Load()), func() { r.storeFault.Store(0) }
-		},
-		"orders": func() (string, func()) {
-			r.orderFault.Store(int32(1 + faultNumber%int(workertest.RequestLost)))
-			return fmt.Sprint(r.orderFault.Load()), func() { r.orderFault.Store(0) }
-		},
-		"dark": func() (string, func()) {
-			r.platform.Fleet.SetPartitioned(id, true)
-			return string(id), func() { r.platform.Fleet.SetPartitioned(id, false) }
-		},
-		"reborn": func() (string, func()) {
-			if err := r.platform.RestartWorker(id); err != nil {
-				r.callers.recordViolation("restart worker: %v", err)
-			}
-			return string(id), noop
-		},
-		"configuration": func() (string, func()) {
-			if err := r.configure(); err != nil {
-				r.callers.recordViolation("configure: %v", err)
-			}
-			return fmt.Sprint(r.version), noop
-		},
-		"keys": func() (string, func()) {
-			workspace := faultNumber % workspaceCount
-			r.replaceKey(workspace)
-			return workspaceName(workspace), noop
-		},
-	}
-}
-
-// setStoreLinks applies a fault to the connections of all processes to the store.
-func (r *run) setStoreLinks(fault linkFault) {
-	for _, p := range r.processes {
-		p.storeProxy.setFault(fault)
-	}
-}
-
-// replaceKey removes the older key of a workspace and adds a new one.
-func (r *run) replaceKey(workspace int) {
-	if err := r.keys.replace(workspace, r.writeConfig); err != nil {
-		r.callers.recordViolation("configure: %v", err)
-	}
-}
-
 func (r *run) checkGuarantees() error {
 	violations := append(r.callers.violations, r.platform.Fleet.Violations()...)
 	for _, p := range r.processes {
@@ -347,7 +233,8 @@
 	if len(violations) == 0 {
 		return nil
 	}
-	return fmt.Errorf("%w: seed %d, %d of %d jobs accepted:\n%s\nfaults:\n%s", ErrBroken, r.options.Seed, accepted, len(r.callers.jobs),
+	return fmt.Errorf("%w: seed %d, started at %s, %d of %d jobs accepted:\n%s\nfaults:\n%s", ErrBroken, r.options.Seed,
+		r.startedAt.UTC().Format(time.RFC3339Nano), accepted, len(r.callers.jobs),
 		strings.Join(violations, "\n"), strings.Join(r.faultLog, "\n"))
 }
 
--- a/testbed/soak_command.go
+++ b/testbed/soak_command.go
@@ -16,6 +16,9 @@
 	Seed              uint64        `long:"seed" default:"1" description:"first seed"`
 	Seeds             uint64        `long:"seeds" default:"1" description:"number of seeds"`
 	Processes         int           `long:"processes" default:"4" description:"number of processes"`
+	Pools             int           `long:"pools" default:"1" description:"number of pools, at most 16"`
+	Workers           int           `long:"workers" default:"6" description:"number of workers of each pool"`
+	WorkerCPU         int64         `long:"worker-cpu" default:"8000" description:"capacity of each worker in thousandths of a core"`
 	Duration          time.Duration `long:"duration" default:"15s" description:"duration of the load with faults"`
 	WithoutWorkspaces bool          `long:"without-workspaces" description:"configuration without workspaces; calls have no keys"`
 	CapCPU            int64         `long:"cap-cpu" description:"cap of each workspace in thousandths of a core; none without"`
@@ -31,7 +34,8 @@
 			return err
 		}
 		err := soak.Run(soak.Options{
-			Binary: c.Binary, Dir: dir, Seed: seed, Processes: c.Processes, Duration: c.Duration, CapCPU: c.CapCPU, WithoutWorkspaces: c.WithoutWorkspaces, Faults: c.Faults,
+			Binary: c.Binary, Dir: dir, Seed: seed, Processes: c.Processes, Pools: c.Pools, Workers: c.Workers, WorkerCPU: c.WorkerCPU, Duration: c.Duration,
+			CapCPU: c.CapCPU, WithoutWorkspaces: c.WithoutWorkspaces, Faults: c.Faults,
 		})
 		fmt.Printf("seed %d: %v\n", seed, err)
 		if err != nil {
--- a/testbed/standin/platform.go
+++ b/testbed/standin/platform.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/rows"
@@ -22,10 +23,15 @@
 	StoreAddress    string
 	MachinesAddress string
 
+	startedAt time.Time // Zero of the fleet's clock.
+
 	mu       sync.Mutex
 	servers  []*http.Server
 	machines map[string]*machine
-	workers  map[worker.ID]worker.Info
+	workers  map[worker.ID]*incarnation
+	fences   map[string]uint64 // Highest fence of the orders to workers, by pool.
+	// cutFences are the fences whose orders get no reply, by pool.
+	cutFences map[string]uint64
 }
 
 type machine struct {
@@ -38,15 +44,20 @@
 	ID       string         `json:"id"`
 }
 
-// Capacity is the capacity of each worker.
+// Capacity is the default capacity of a worker.
 var Capacity = job.Resources{CPU: 8000, MemoryMB: 16384}
 
+// firstClockReading is what the clock of the fleet and that of a new incarnation show at
+// their start.
+const firstClockReading = time.Second
+
 // Start starts a stand-in without workers. The function planRun determines how each run of a task
 // behaves.
 func Start(planRun func(job.TaskRef, int) workertest.RunPlan) (*Platform, error) {
 	p := &Platform{
 		Store: &rowstest.Store{}, Fleet: workertest.New(planRun),
-		machines: map[string]*machine{}, workers: map[worker.ID]worker.Info{},
+		startedAt: time.Now().Add(-firstClockReading), machines: map[string]*machine{}, workers: map[worker.ID]*incarnation{},
+		fences: map[string]uint64{}, cutFences: map[string]uint64{},
 	}
 	var err error
 	if p.StoreAddress, err = p.serve(p.storeHandler()); err != nil {
@@ -78,21 +89,22 @@
 	return listener.Addr().String(), nil
 }
 
-// AddWorkers adds n VMs to a pool, starts a worker on each and registers it in the table service.
-func (p *Platform) AddWorkers(pool string, n int) error {
+// AddWorkers adds n VMs to a pool, starts a worker with the given capacity on each and
+// registers it in the table service.
+func (p *Platform) AddWorkers(pool string, n int, capacity job.Resources) error {
 	for i := range n {
 		id := worker.ID(fmt.Sprintf("w-%s-%d", pool, i))
 		address, err := p.serve(p.workerHandler(id))
 		if err != nil {
 			return err
 		}
-		info := worker.Info{ID: id, Pool: pool, Address: address, State: worker.Ready, Capacity: Capacity, Labels: []string{"a", fmt.Sprintf("rack-%d", i/4)}, StartedUnixMs: 1}
+		info := worker.Info{ID: id, Pool: pool, Address: address, State: worker.Ready, Capacity: capacity, Labels: []string{"a", fmt.Sprintf("rack-%d", i/4)}, StartedUnixMs: 1}
 		p.Fleet.Add(info)
 		p.mu.Lock()
-		p.workers[id] = info
+		p.workers[id] = newIncarnation(info, 0)
 		p.machines["m-"+string(id)] = &machine{
 			Machine: "m-" + string(id), Pool: pool, State: "up", Labels: info.Labels, ID: string(id),
-			Capacity: map[string]any{"cpu": Capacity.CPU, "mem-mb": Capacity.MemoryMB},
+			Capacity: map[string]any{"cpu": capacity.CPU, "mem-mb": capacity.MemoryMB},
 		}
 		p.mu.Unlock()
 		if err := p.register(info); err != nil {
@@ -102,17 +114,6 @@
 	return nil
 }
 
-// RestartWorker restarts a worker under the same ID with a later start time, and registers it again.
-func (p *Platform) RestartWorker(id worker.ID) error {
-	p.mu.Lock()
-	info := p.workers[id]
-	info.StartedUnixMs++
-	p.workers[id] = info
-	p.mu.Unlock()
-	p.Fleet.Add(info)
-	return p.register(info)
-}
-
 func (p *Platform) register(info worker.Info) error {
 	return p.putRow("servers", string(info.ID), map[string]any{
 		"service": info.Pool, "address": info.Address, "state": "ready", "labels": info.Labels, "born": info.StartedUnixMs,
--- /dev/null
+++ b/testbed/standin/restart.go
@@ -0,0 +1,103 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"peridotcrank.dev/jobs/worker"
+)
+
+// MaxLease is the longest lease that a worker grants. A longer one is shortened.
+const MaxLease = 6 * time.Second
+
+// incarnation is a worker from one of its starts until the next.
+type incarnation struct {
+	info worker.Info
+	// clockOffset is the fleet's clock when this incarnation's clock showed zero.
+	clockOffset time.Duration
+	ctx         context.Context // Ends with the connections of this incarnation.
+	disconnect  context.CancelFunc
+}
+
+func newIncarnation(info worker.Info, clockOffset time.Duration) *incarnation {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &incarnation{info: info, clockOffset: clockOffset, ctx: ctx, disconnect: cancel}
+}
+
+// leaseExpiry converts the expiry of a lease from the worker's clock to the fleet's clock.
+func (i *incarnation) leaseExpiry(dueMS int64, fleetClock time.Duration) time.Duration {
+	if dueMS == 0 {
+		return 0
+	}
+	return min(time.Duration(dueMS)*time.Millisecond+i.clockOffset, fleetClock+MaxLease)
+}
+
+// clockMS converts a reading of the fleet's clock to the worker's clock.
+func (i *incarnation) clockMS(fleetClock time.Duration) int64 {
+	return (fleetClock - i.clockOffset).Milliseconds()
+}
+
+// Restart describes how a worker restarts.
+type Restart struct {
+	// CloseConnections closes the connections of the calls in flight. Otherwise these
+	// calls get no reply.
+	CloseConnections bool
+	// RegisterAfter is the time until the registry lists the new incarnation.
+	RegisterAfter time.Duration
+}
+
+// RestartWorker restarts a worker under its ID with a later start time and a new clock.
+func (p *Platform) RestartWorker(id worker.ID, restart Restart) error {
+	p.mu.Lock()
+	former := p.workers[id]
+	info := former.info
+	info.StartedUnixMs++
+	next := newIncarnation(info, p.fleetClock()-firstClockReading)
+	p.workers[id] = next
+	p.Fleet.Add(info)
+	p.mu.Unlock()
+	if restart.CloseConnections {
+		former.disconnect()
+	}
+	if restart.RegisterAfter == 0 {
+		return p.register(info)
+	}
+	time.AfterFunc(restart.RegisterAfter, func() {
+		if p.incarnation(id) == next {
+			_ = p.register(info) // The entry of every incarnation can be encoded.
+		}
+	})
+	return nil
+}
+
+func (p *Platform) fleetClock() time.Duration { return time.Since(p.startedAt) }
+
+func (p *Platform) incarnation(id worker.ID) *incarnation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.workers[id]
+}
+
+// CutOwner cuts the current owner of a pool off from the pool's workers: its orders are
+// not executed, and its calls get no reply.
+func (p *Platform) CutOwner(pool string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutFences[pool] = p.fences[pool]
+}
+
+// ReconnectOwner ends the effect of CutOwner.
+func (p *Platform) ReconnectOwner(pool string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.cutFences, pool)
+}
+
+// isCut reports whether the sender of an order is cut off from the pool's workers.
+func (p *Platform) isCut(pool string, fence uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fences[pool] = max(p.fences[pool], fence)
+	cut, ok := p.cutFences[pool]
+	return ok && cut == fence
+}
--- a/testbed/standin/workers.go
+++ b/testbed/standin/workers.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -19,6 +20,11 @@
 	Saved     string `json:"saved"`
 	AckedUpTo uint64 `json:"acked-upto"`
 	WaitMS    int64  `json:"wait-ms"`
+
+	leaseExpiry time.Duration // On the fleet's clock.
+	// task is the decoded Task.
+	task job.TaskRef
+	to   *incarnation
 }
 
 var refusalReasons = map[error]string{
@@ -29,45 +35,47 @@
 func (p *Platform) workerHandler(id worker.ID) http.Handler {
 	to := worker.Target{ID: id}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", p.serveOrder(id, func(r *http.Request, o order, task job.TaskRef) (any, error) {
-		clock, err := p.Fleet.Start(r.Context(), to, worker.Start{
-			Task: task, Run: o.Run, Spec: o.Spec, LeaseExpiry: time.Duration(o.DueMS) * time.Millisecond, Fence: o.Fence, SavedCheckpoint: o.Saved,
+	mux.HandleFunc("POST /run-start", p.serveOrder(id, func(ctx context.Context, o order) (any, error) {
+		clock, err := p.Fleet.Start(ctx, to, worker.Start{
+			Task: o.task, Run: o.Run, Spec: o.Spec, LeaseExpiry: o.leaseExpiry, Fence: o.Fence, SavedCheckpoint: o.Saved,
 		})
-		return map[string]any{"clock-ms": clock.Milliseconds()}, err
+		return map[string]any{"clock-ms": o.to.clockMS(clock)}, err
 	}))
-	mux.HandleFunc("POST /run-stop", p.serveOrder(id, func(r *http.Request, o order, task job.TaskRef) (any, error) {
-		clock, err := p.Fleet.Stop(r.Context(), to, task, o.Run, o.Fence)
-		return map[string]any{"clock-ms": clock.Milliseconds()}, err
+	mux.HandleFunc("POST /run-stop", p.serveOrder(id, func(ctx context.Context, o order) (any, error) {
+		clock, err := p.Fleet.Stop(ctx, to, o.task, o.Run, o.Fence)
+		return map[string]any{"clock-ms": o.to.clockMS(clock)}, err
 	}))
-	mux.HandleFunc("POST /hold", p.serveOrder(id, func(r *http.Request, o order, _ job.TaskRef) (any, error) {
-		status, err := p.Fleet.Hold(r.Context(), to, worker.Hold{
-			Fence: o.Fence, AckedUpTo: o.AckedUpTo, LeaseExpiry: time.Duration(o.DueMS) * time.Millisecond, Wait: time.Duration(o.WaitMS) * time.Millisecond,
+	mux.HandleFunc("POST /hold", p.serveOrder(id, func(ctx context.Context, o order) (any, error) {
+		status, err := p.Fleet.Hold(ctx, to, worker.Hold{
+			Fence: o.Fence, AckedUpTo: o.AckedUpTo, LeaseExpiry: o.leaseExpiry, Wait: time.Duration(o.WaitMS) * time.Millisecond,
 		})
-		return encodeStatus(status), err
+		return encodeStatus(status, o.to), err
 	}))
 	return mux
 }
 
-func (p *Platform) serveOrder(id worker.ID, execute func(*http.Request, order, job.TaskRef) (any, error)) http.HandlerFunc {
+func (p *Platform) serveOrder(id worker.ID, execute func(context.Context, order) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if expected := r.Header.Get("X-Peridotcrank-Expect-Instance"); expected != "" && expected != string(id) {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		var o order
-		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		o, err := p.decodeOrder(r, id)
+		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		var task job.TaskRef
-		if o.Task != "" {
-			var err error
-			if task, err = job.ParseTaskRef(o.Task); err != nil {
-				http.Error(w, err.Error(), http.StatusBadRequest)
-				return
-			}
+		pool := o.to.info.Pool
+		if p.isCut(pool, o.Fence) {
+			abortWithoutReply(r)
+		}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(o.to.ctx, cancel)()
+		body, err := execute(ctx, o)
+		if p.isCut(pool, o.Fence) {
+			abortWithoutReply(r)
 		}
-		body, err := execute(r, o, task)
 		for known, reason := range refusalReasons {
 			if errors.Is(err, known) {
 				writeJSON(w, http.StatusConflict, map[string]any{"reason": reason})
@@ -81,7 +89,29 @@
 	}
 }
 
-func encodeStatus(s worker.Status) map[string]any {
+// abortWithoutReply ends the handling of a call when its sender gives up.
+func abortWithoutReply(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// decodeOrder decodes an order to the current incarnation of a worker.
+func (p *Platform) decodeOrder(r *http.Request, id worker.ID) (order, error) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		return order{}, err
+	}
+	o.to = p.incarnation(id)
+	o.leaseExpiry = o.to.leaseExpiry(o.DueMS, p.fleetClock())
+	if o.Task == "" {
+		return o, nil
+	}
+	var err error
+	o.task, err = job.ParseTaskRef(o.Task)
+	return o, err
+}
+
+func encodeStatus(s worker.Status, from *incarnation) map[string]any {
 	running, ended := []any{}, []any{}
 	for _, r := range s.Running {
 		running = append(running, []any{r.Task.String(), r.Run, r.SavedCheckpoint, r.Percent, r.Measure})
@@ -89,5 +119,5 @@
 	for _, e := range s.EndedRuns {
 		ended = append(ended, []any{e.Number, e.Task.String(), e.Run, e.Outcome.String(), e.SavedCheckpoint})
 	}
-	return map[string]any{"clock-ms": s.ClockTime.Milliseconds(), "born": s.StartedUnixMs, "running": running, "ended": ended}
+	return map[string]any{"clock-ms": from.clockMS(s.ClockTime), "born": s.StartedUnixMs, "running": running, "ended": ended}
 }
