Simulated workers check their capacity

A start that brings a worker over its capacity was not noticed by any test. The fleet now records it as a violation: the reserved resources of all runs on the worker count, and a run that is being stopped counts until its end is listed. The rig of the shard tests sets the resources from the submitted jobs, so that all tests with simulated workers run with the check.

All tests of jobs/shard pass with it.

--- a/jobs/shard/rig_test.go
+++ b/jobs/shard/rig_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -48,6 +49,8 @@
 	workerInfos []worker.Info
 	startedAt   time.Time
 	fence       uint64
+	// submitted are the jobs that were passed to an owner, by their IDs.
+	submitted sync.Map
 
 	// ownerOf returns the workspace of each test job; nil if the jobs belong to none.
 	ownerOf        func(n int) job.Workspace
@@ -63,6 +66,7 @@
 // owner is a shard whose ownership the test controls.
 type owner struct {
 	*Shard
+	rig       *rig
 	loop      *loop.Loop
 	ownsShard atomic.Bool
 	lost      atomic.Bool
@@ -70,6 +74,13 @@
 
 func (o *owner) callOnLoop(f func()) { o.loop.Call(context.Background(), f) }
 
+// Submit passes a job to the shard, and lets the simulated workers know the resources of
+// its tasks.
+func (o *owner) Submit(j *job.Job, answer func(Result)) {
+	o.rig.submitted.LoadOrStore(j.ID, j)
+	o.Shard.Submit(j, answer)
+}
+
 // suspend revokes an owner's ownership and blocks its loop for a time. Replies to its
 // calls are handled afterwards.
 func (o *owner) suspend(d time.Duration) {
@@ -87,6 +98,7 @@
 			startedAt: time.Now(), recorder: eventlog.Discard,
 		}
 		r.fleet = workertest.New(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: time.Second} })
+		r.fleet.CheckCapacity(r.reservedBy)
 		go r.loop.Run(ctx)
 		defer r.stop()
 		test(r)
@@ -94,6 +106,15 @@
 	})
 }
 
+// reservedBy returns the resources that a task of a submitted job reserves.
+func (r *rig) reservedBy(ref job.TaskRef) job.Resources {
+	j, ok := r.submitted.Load(ref.Job)
+	if !ok {
+		return job.Resources{}
+	}
+	return j.(*job.Job).Steps[ref.Step].ReservedResources()
+}
+
 // stop stops all owners and waits for calls in flight, since no goroutine may outlive
 // the bubble.
 func (r *rig) stop() {
@@ -123,7 +144,7 @@
 // startOwnerOf starts a new owner of a pool. configure is called before the owner starts.
 func (r *rig) startOwnerOf(pool string, configure func(*Shard)) *owner {
 	r.fence++
-	o := &owner{loop: r.loop}
+	o := &owner{rig: r, loop: r.loop}
 	o.ownsShard.Store(true)
 	if r.separateLoops {
 		o.loop = loop.New()
--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -26,7 +26,8 @@
 
 	mu              sync.Mutex
 	acceptTicket    func(worker.ID, worker.Start) bool
-	refusedTickets  int // Number of starts whose ticket was not accepted.
+	reservedBy      func(job.TaskRef) job.Resources // nil disables the check of capacities.
+	refusedTickets  int                             // Number of starts whose ticket was not accepted.
 	planRun         func(task job.TaskRef, run int) RunPlan
 	planRunOnWorker func(id worker.ID, task job.TaskRef) RunPlan
 	chooseFault     func(id worker.ID, order string) Fault
@@ -123,6 +124,15 @@
 	f.acceptTicket = accepts
 }
 
+// CheckCapacity records a violation when a start brings a worker over its capacity.
+// reservedBy returns the resources that a task reserves. A run that is being stopped
+// counts until its end is listed.
+func (f *Fleet) CheckCapacity(reservedBy func(job.TaskRef) job.Resources) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reservedBy = reservedBy
+}
+
 // TicketsRefused returns the number of starts rejected because of their ticket.
 func (f *Fleet) TicketsRefused() int {
 	f.mu.Lock()
--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -64,6 +64,7 @@
 	f.checkStartAllowed(w, order)
 	r := &run{task: order.Task, number: order.Run}
 	w.runs[order.Task] = r
+	f.checkCapacity(w, r)
 	plan := f.planRun(order.Task, order.Run)
 	if f.planRunOnWorker != nil {
 		plan = f.planRunOnWorker(w.info.ID, order.Task)
@@ -95,6 +96,21 @@
 	}
 }
 
+// checkCapacity records a violation when a run that just started brings its worker over
+// its capacity.
+func (f *Fleet) checkCapacity(w *simulatedWorker, started *run) {
+	if f.reservedBy == nil {
+		return
+	}
+	var used job.Resources
+	for _, r := range w.runs {
+		used = used.Plus(f.reservedBy(r.task))
+	}
+	if !used.Fits(w.info.Capacity) {
+		f.recordViolation("%v run %d brings %s to %+v, over its capacity of %+v", started.task, started.number, w.info.ID, used, w.info.Capacity)
+	}
+}
+
 func (f *Fleet) endRun(w *simulatedWorker, r *run, outcome worker.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
