--- a/testbed/soak/callers.go
+++ b/testbed/soak/callers.go
@@ -52,6 +52,7 @@
 	maxAttempts    = 4
 	retryPause     = 300 * time.Millisecond
 	taskCPU        = 500 // Thousandths of a core.
+	taskMemoryMB   = 100
 	// unknownKeyInterval is one more than the number of jobs with a valid key between two
 	// without.
 	unknownKeyInterval = 8
@@ -86,8 +87,8 @@
 // jobBody returns the body of a submission.
 func jobBody(id job.ID, tasks int) []byte {
 	steps := []map[string]any{
-		{"count": tasks, "cpu": taskCPU, "mem-mb": 100, "est-ms": 300},
-		{"count": 1, "cpu": taskCPU, "mem-mb": 100, "est-ms": 300, "after": []int{0}},
+		{"count": tasks, "cpu": taskCPU, "mem-mb": taskMemoryMB, "est-ms": 300},
+		{"count": 1, "cpu": taskCPU, "mem-mb": taskMemoryMB, "est-ms": 300, "after": []int{0}},
 	}
 	body, err := json.Marshal(map[string]any{"spec": string(id), "steps": steps})
 	if err != nil {
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -100,6 +100,7 @@
 	if r.platform, err = standin.Start(r.planRun); err != nil {
 		return err
 	}
+	r.platform.Fleet.CheckCapacity(func(job.TaskRef) job.Resources { return job.Resources{CPU: taskCPU, MemoryMB: taskMemoryMB} })
 	r.installFaults()
 	capacity := job.Resources{CPU: r.options.WorkerCPU, MemoryMB: standin.Capacity.MemoryMB}
 	for pool := range r.options.Pools {
