--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -231,12 +233,15 @@
 	if accepted == 0 {
 		violations = append(violations, "no job was accepted while faults were injected")
 	}
+	report := fmt.Sprintf("seed %d, started at %s, %d of %d jobs accepted:\n%s\nfaults:\n%s\n", r.options.Seed, r.startedAt.UTC().Format(time.RFC3339Nano),
+		accepted, len(r.callers.jobs), strings.Join(violations, "\n"), strings.Join(r.faultLog, "\n"))
+	if err := os.WriteFile(filepath.Join(r.options.Dir, "report.txt"), []byte(report), 0o600); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
 	if len(violations) == 0 {
 		return nil
 	}
-	return fmt.Errorf("%w: seed %d, started at %s, %d of %d jobs accepted:\n%s\nfaults:\n%s", ErrBroken, r.options.Seed,
-		r.startedAt.UTC().Format(time.RFC3339Nano), accepted, len(r.callers.jobs),
-		strings.Join(violations, "\n"), strings.Join(r.faultLog, "\n"))
+	return fmt.Errorf("%w: %s", ErrBroken, report)
 }
 
 func (r *run) close() {
