Soak: concurrent soaks take separate blocks of ports

Soaks that ran beside each other reported jobs of other workspaces and unknown jobs: two of them had chosen the same ports (process IDs 120 apart), and callers reached processes of the other soak. A soak now locks a block of ports by listening on its first one.

--- a/testbed/soak/process.go
+++ b/testbed/soak/process.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -68,15 +66,15 @@
 	if err != nil {
 		return nil, err
 	}
-	var ports [4]string
-	for i := range ports {
-		if ports[i], err = freeAddress(); err != nil {
+	var addresses [4]string
+	for i := range addresses {
+		if addresses[i], err = ports.takeAddress(); err != nil {
 			return nil, err
 		}
 	}
-	p := &process{name: name, binary: binary, settingsFile: filepath.Join(dir, name+".yaml"), callersAddress: ports[0], readyAddress: ports[1], storeProxy: storeProxy, exited: make(chan struct{})}
+	p := &process{name: name, binary: binary, settingsFile: filepath.Join(dir, name+".yaml"), callersAddress: addresses[0], readyAddress: addresses[1], storeProxy: storeProxy, exited: make(chan struct{})}
 	close(p.exited)
-	settings := fmt.Sprintf(settingsTemplate, name, ports[0], ports[1], ports[2], ports[3], storeProxy.address(), machines, standin.MaxLease)
+	settings := fmt.Sprintf(settingsTemplate, name, addresses[0], addresses[1], addresses[2], addresses[3], storeProxy.address(), machines, standin.MaxLease)
 	if withKeys {
 		settings += fmt.Sprintf(keysTemplate, revokeTime)
 	}
@@ -87,15 +85,6 @@
 	return p, err
 }
 
-const (
-	// Ports are below the range that the system uses for outgoing connections, and
-	// concurrent soaks use separate ports, so that a process can listen on the same
-	// ports again after a restart.
-	firstPort    = 20000
-	lastPort     = 32000
-	portsPerSoak = 100
-)
-
 const (
 	// starvedSuspension and starvedTurn are how long a process short of CPU is suspended
 	// and runs in turn.
@@ -103,22 +92,6 @@
 	starvedTurn       = 20 * time.Millisecond
 )
 
-var portsTaken atomic.Int32
-
-func freeAddress() (string, error) {
-	var err error
-	for range portsPerSoak {
-		n := os.Getpid()*portsPerSoak + int(portsTaken.Add(1))
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
-		var listener net.Listener
-		if listener, err = net.Listen("tcp", address); err == nil {
-			listener.Close()
-			return address, nil
-		}
-	}
-	return "", fmt.Errorf("no free port found: %w", err)
-}
-
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
