--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -24,7 +24,7 @@
 	minPause           = time.Second
 	maxPause           = 8 * time.Second
 	faultyCallInterval = 3 // One in this many commits and orders gets the fault in force.
-	// heartbeatInterval is the time after which the registry lists a restarted worker.
+	// heartbeatInterval is the longest time until the registry lists a restarted worker.
 	heartbeatInterval = 1500 * time.Millisecond
 	// headTable is the table in which the owner of each pool is recorded.
 	headTable = "head"
@@ -158,12 +158,14 @@
 			return string(id), noop
 		},
 		"restart": func() (string, func()) {
-			restart := standin.Restart{CloseConnections: faultNumber%2 == 0, RegisterAfter: heartbeatInterval}
 			count := 1 + faultNumber/2%max(r.options.Workers/2, 1)
+			restart := standin.Restart{CloseConnections: faultNumber%2 == 0}
 			for i := range count {
+				// The heartbeats of workers are not synchronized.
+				restart.RegisterAfter = heartbeatInterval * time.Duration(i+1) / time.Duration(count)
 				r.restartWorker(workerID(pool, (workerNumber+i)%r.options.Workers), restart)
 			}
-			return fmt.Sprintf("%d workers from %s on, connections closed %v", count, id, restart.CloseConnections), noop
+			return fmt.Sprintf("%d workers from %s, connections closed %v", count, id, restart.CloseConnections), noop
 		},
 		"configuration": func() (string, func()) {
 			if err := r.configure(); err != nil {
