--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	meanFaultGap       = 1200 * time.Millisecond
+	defaultFaultGap    = 1200 * time.Millisecond
 	maxFaultDuration   = 6 * time.Second
 	minFaultDuration   = 300 * time.Millisecond
 	minPause           = time.Second
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -34,6 +34,8 @@
 	WithoutWorkspaces bool
 	// CapCPU is the cap of each workspace in thousandths of a core. Default: no cap.
 	CapCPU int64
+	// FaultGap is the mean time between the starts of two faults. Default 1.2 s.
+	FaultGap time.Duration
 	// Faults lists the kinds of faults to inject, by name. Default: all.
 	Faults []string
 }
@@ -82,6 +84,7 @@
 	o.Workers = cmp.Or(o.Workers, defaultWorkers)
 	o.WorkerCPU = cmp.Or(o.WorkerCPU, standin.Capacity.CPU)
 	o.Duration = cmp.Or(o.Duration, defaultDuration)
+	o.FaultGap = cmp.Or(o.FaultGap, defaultFaultGap)
 	r := &run{options: o, startedAt: time.Now()}
 	if !o.WithoutWorkspaces {
 		r.keys = newKeyring()
@@ -210,7 +213,7 @@
 	var faults sync.WaitGroup
 	r.replaceKey(0) // So that each run has a key that was removed early.
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(rng.Int64N(int64(2*meanFaultGap))))
+		pause(ctx, time.Duration(rng.Int64N(int64(2*r.options.FaultGap))))
 		if ctx.Err() == nil {
 			r.injectFault(rng, &faults)
 		}
--- a/testbed/soak_command.go
+++ b/testbed/soak_command.go
@@ -22,6 +22,7 @@
 	Duration          time.Duration `long:"duration" default:"15s" description:"duration of the load with faults"`
 	WithoutWorkspaces bool          `long:"without-workspaces" description:"configuration without workspaces; calls have no keys"`
 	CapCPU            int64         `long:"cap-cpu" description:"cap of each workspace in thousandths of a core; none without"`
+	FaultGap          time.Duration `long:"fault-gap" default:"1200ms" description:"mean time between the starts of two faults"`
 	Faults            []string      `long:"fault" description:"kinds of faults; all without"`
 }
 
@@ -35,7 +36,7 @@
 		}
 		err := soak.Run(soak.Options{
 			Binary: c.Binary, Dir: dir, Seed: seed, Processes: c.Processes, Pools: c.Pools, Workers: c.Workers, WorkerCPU: c.WorkerCPU, Duration: c.Duration,
-			CapCPU: c.CapCPU, WithoutWorkspaces: c.WithoutWorkspaces, Faults: c.Faults,
+			CapCPU: c.CapCPU, WithoutWorkspaces: c.WithoutWorkspaces, FaultGap: c.FaultGap, Faults: c.Faults,
 		})
 		fmt.Printf("seed %d: %v\n", seed, err)
 		if err != nil {
