--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -1,11 +1,18 @@
 package shard
 
 import (
+	"cmp"
+	"slices"
+
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/worker"
 )
 
+// maxListedEnds is the maximum number of ends in a status. A status with that many may
+// leave further ends out until earlier ones are acknowledged.
+const maxListedEnds = 500
+
 // applyStatus reconciles the state of a worker with a status that it reported. sent is
 // the logical time at which the request for the status was sent.
 //
@@ -20,6 +27,8 @@
 	sameClock := status.ClockTime == w.lastStatusClock
 	s.noteStatus(w, status.ClockTime)
 	w.lastStatusClock = status.ClockTime
+	slices.SortFunc(status.EndedRuns, func(a, b worker.RunEnd) int { return cmp.Compare(a.Number, b.Number) })
+	s.checkEndNumbers(w, status.EndedRuns)
 	for _, end := range status.EndedRuns {
 		if end.Number <= w.lastAppliedEnd {
 			continue
@@ -35,18 +44,28 @@
 			s.applyRunningTask(w, key, r)
 		}
 	}
-	for key, a := range w.attempts {
-		// An order that was answered before the request was sent is reflected in the
-		// status.
-		if !listed[key] && a.answeredAt > 0 && a.answeredAt < sent {
-			s.removeAttempt(a)
-		}
+	if len(status.EndedRuns) < maxListedEnds {
+		s.removeUnlisted(w, unlistedRuns(w, sent, listed), len(status.EndedRuns))
+		s.markAccountedFor(w)
 	}
+	s.checkUse(w)
 	s.stopUncertainStarts(w, sent)
 	s.schedulePlacement()
 	s.flush()
 }
 
+// unlistedRuns returns the runs that a worker's complete status lists neither as running
+// nor as ended. An order that was answered before the request for the status was sent is
+// reflected in it.
+func unlistedRuns(w *workerState, sent logicalTime, listed map[runKey]bool) (unlisted []*attempt) {
+	for key, a := range w.attempts {
+		if !listed[key] && a.answeredAt > 0 && a.answeredAt < sent {
+			unlisted = append(unlisted, a)
+		}
+	}
+	return unlisted
+}
+
 // applyRunningTask applies a run that a worker's status lists as running. A run that
 // is no longer needed is stopped.
 func (s *Shard) applyRunningTask(w *workerState, key runKey, r worker.RunningTask) {
@@ -104,6 +123,7 @@
 // applyRunEnd applies the end of a run to its attempt, task and job.
 func (s *Shard) applyRunEnd(w *workerState, end worker.RunEnd) {
 	w.lastRunEndedAt = s.opts.Clock()
+	s.traceRunEnd(w, end)
 	if a := w.attempts[runKey{end.Task, end.Run}]; a != nil {
 		a.noteCheckpoint(end.SavedCheckpoint, w.lastStatusClock)
 		if s.learning != nil {
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -51,6 +51,8 @@
 	// LearnedDurations replaces the regression over declared estimates by distributions
 	// that are learned from finished runs.
 	LearnedDurations bool
+	// Counts counts what an operator watches; nil for none.
+	Counts Counts
 	// PredictionObserved is called on the loop with the predicted and the actual duration
 	// of a task; nil for none.
 	PredictionObserved func(predicted, actual time.Duration)
@@ -130,6 +132,10 @@
 	maxIncarnationAge = 100 * time.Millisecond
 	// minClockRate is the slowest rate of a worker's clock relative to real time.
 	minClockRate = 0.98
+	// minUnansweredHolds is the number of consecutive holds without a reply from which a
+	// new owner takes a worker whose leases have expired for unreachable. A worker that
+	// replies may list ends of runs, however long ago its leases expired.
+	minUnansweredHolds = 2
 	// leaseMargin is added to a lease before it counts as expired.
 	leaseMargin = 100 * time.Millisecond
 	// maxUnansweredStarts is the number of consecutive starts without a reply after
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -125,6 +125,8 @@
 	restartedAfterStall bool        // A stalled run of the task was stopped.
 	held                bool        // Its last attempt waits for a proven worker.
 	heldSince           time.Duration
+	doneRun             int      // The run whose end made the task done; 0 if it was done before this owner.
+	lostRun             *lostRun // The last run if it no longer counts and no start has followed.
 	// notBefore is the earliest time of the next start, on the shard's clock.
 	notBefore time.Duration
 }
@@ -199,6 +201,7 @@
 	// since; nil otherwise.
 	movedFrom *workerState
 	countedIn *workspaceCap // The cap in whose use the run is counted, or nil.
+	former    *lostRun      // The run that this one replaces, or nil.
 }
 
 func (a *attempt) key() runKey { return runKey{a.ref, a.run} }
@@ -210,7 +213,7 @@
 	entry                 worker.Info // Registry entry that was read last, maybe of another incarnation.
 	rowCommitted          bool        // Its row is committed, so a later owner will query the worker.
 	rowQueued             bool
-	accountedFor          bool          // It replied to this owner, or its leases from former owners have expired.
+	accountedFor          bool          // It replied to this owner, or it does not reply and its leases from former owners have expired.
 	vacateUntil           time.Duration // It gets no new tasks until then.
 	maintenanceDueUntil   time.Duration // Its VM counts as due for maintenance until then.
 	confirmingLeaseExpiry bool          // A status query that confirms the expiry of its lease is in flight.
@@ -250,6 +253,7 @@
 
 	pace          int // Pace of the best-effort tasks, in percent.
 	paceChangedAt time.Duration
+	trace         workerTrace
 }
 
 func (w *workerState) target() worker.Target {
