--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -78,12 +78,16 @@
 }
 
 var faultNames = []string{
-	pauseFault, "starve", "kill", "stop", "link", "reset", "store", "orders", "dark", "cut", "reborn", "restart", "configuration", "keys", outageFault,
+	pauseFault, "starve", "kill", "stop", "link", "reset", "store", "orders", "dark", "cut", "reborn", restartFault, "configuration", "keys", outageFault,
 }
 
 // pauseFault suspends a process. It can last longer than the leases of workers.
 const pauseFault = "pause"
 
+// restartFault restarts up to half of the workers of a pool under their IDs. Their entries in
+// the registry follow later, one after the other.
+const restartFault = "restart"
+
 // outageFault disconnects all processes from the store. It always lasts maxFaultDuration, so
 // that calls are sent later than revokeTime after the key that it removes.
 const outageFault = "outage"
@@ -157,7 +161,7 @@
 			r.restartWorker(id, standin.Restart{})
 			return string(id), noop
 		},
-		"restart": func() (string, func()) {
+		restartFault: func() (string, func()) {
 			count := 1 + faultNumber/2%max(r.options.Workers/2, 1)
 			restart := standin.Restart{CloseConnections: faultNumber%2 == 0}
 			for i := range count {
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -37,6 +37,22 @@
 	}
 }
 
+// Guards against tasks that start again and workers over their capacity after workers have
+// restarted under their IDs: acknowledgements and runs that the owner applies to the wrong
+// incarnation, and entries of former incarnations in the registry.
+func TestRestartedWorkers(t *testing.T) {
+	binary := buildProgram(t)
+	for _, seed := range []uint64{1, 5} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			assert.NilError(t, Run(Options{
+				Binary: binary, Dir: t.TempDir(), Seed: seed, Duration: shortRun, Workers: 60, WorkerCPU: 3 * taskCPU,
+				Faults: []string{restartFault}, FaultGap: 300 * time.Millisecond,
+			}))
+		})
+	}
+}
+
 // Guards against a soak that ends with a panic or does not end when a program cannot be
 // started.
 func TestProgramThatCannotStart(t *testing.T) {
