--- a/jobs/shard/traceruns.go
+++ b/jobs/shard/traceruns.go
@@ -104,8 +104,7 @@
 // checkUse records when the runs that execute on a worker begin to exceed its capacity.
 // Runs that are being stopped are left out, since they may never have begun.
 func (s *Shard) checkUse(w *workerState) {
-	// A worker in the rows has no capacity before it is registered.
-	if w.used.Fits(w.info.Capacity) || w.info.Capacity == (job.Resources{}) {
+	if w.used.Fits(w.info.Capacity) || !w.hasCurrentEntry() {
 		w.trace.overCapacity = false
 		return
 	}
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -275,6 +275,9 @@
 			"born": w.info.StartedUnixMs, "first_end": firstListedEnd(status.EndedRuns), "runs_listed": len(status.Running),
 		})
 	}
+	if w.restarted && w.lastStatusClock == 0 {
+		w.formerLeaseExpiry = status.ClockTime + s.maxLease()
+	}
 	w.statusArrivedAt = arrived
 	w.updateClock(status.ClockTime, s.opts.Clock())
 	s.applyStatus(w, sent, status)
@@ -311,10 +314,8 @@
 	if w.leaseExpired(now) {
 		s.confirmLeaseExpiry(w)
 	}
-	if w.failedHolds > 0 && w.clock == 0 && (!w.registered || now > w.knownSince+maxOrderDelay+s.opts.LeaseDuration) {
-		s.removeAttempts(w, neverAnswered) // The starts were not answered and can no longer run.
-	}
-	if !w.accountedFor && w.failedHolds >= minUnansweredHolds && now > s.ownerSince+time.Duration(float64(s.inheritedLease)/minClockRate)+leaseMargin {
+	s.removeEndedRuns(w, now)
+	if !w.accountedFor && w.failedHolds >= minUnansweredHolds && now > s.ownerSince+time.Duration(float64(s.inheritedLeaseOf(w))/minClockRate)+leaseMargin {
 		s.recordWaitExpired(w, now)
 		s.markAccountedFor(w)
 	}
