Stand-in: clocks and longest lease of workers come from the simulated workers

The stand-in's own conversion gave restarted workers negative clock readings, so that they got no tasks; runs of the soak in between did not test restarts.

--- a/testbed/soak/process.go
+++ b/testbed/soak/process.go
@@ -9,8 +9,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"peridotcrank.dev/testbed/standin"
 )
 
 // process is a process of the program under test, with a proxy of its own to the store.
@@ -30,6 +28,9 @@
 	exited chan struct{}
 }
 
+// maxLease is the longest lease of the simulated workers.
+const maxLease = 6 * time.Second
+
 const settingsTemplate = `member: %s
 zone: zone-a
 cpu: 0.5
@@ -74,7 +75,7 @@
 	}
 	p := &process{name: name, binary: binary, settingsFile: filepath.Join(dir, name+".yaml"), callersAddress: addresses[0], readyAddress: addresses[1], storeProxy: storeProxy, exited: make(chan struct{})}
 	close(p.exited)
-	settings := fmt.Sprintf(settingsTemplate, name, addresses[0], addresses[1], addresses[2], addresses[3], storeProxy.address(), machines, standin.MaxLease)
+	settings := fmt.Sprintf(settingsTemplate, name, addresses[0], addresses[1], addresses[2], addresses[3], storeProxy.address(), machines, maxLease)
 	if withKeys {
 		settings += fmt.Sprintf(keysTemplate, revokeTime)
 	}
--- a/testbed/standin/platform.go
+++ b/testbed/standin/platform.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/rows"
@@ -23,8 +22,6 @@
 	StoreAddress    string
 	MachinesAddress string
 
-	startedAt time.Time // Zero of the fleet's clock.
-
 	mu       sync.Mutex
 	servers  []*http.Server
 	machines map[string]*machine
@@ -47,16 +44,12 @@
 // Capacity is the default capacity of a worker.
 var Capacity = job.Resources{CPU: 8000, MemoryMB: 16384}
 
-// firstClockReading is what the clock of the fleet and that of a new incarnation show at
-// their start.
-const firstClockReading = time.Second
-
 // Start starts a stand-in without workers. The function planRun determines how each run of a task
 // behaves.
 func Start(planRun func(job.TaskRef, int) workertest.RunPlan) (*Platform, error) {
 	p := &Platform{
 		Store: &rowstest.Store{}, Fleet: workertest.New(planRun),
-		startedAt: time.Now().Add(-firstClockReading), machines: map[string]*machine{}, workers: map[worker.ID]*incarnation{},
+		machines: map[string]*machine{}, workers: map[worker.ID]*incarnation{},
 		fences: map[string]uint64{}, cutFences: map[string]uint64{},
 	}
 	var err error
@@ -101,7 +94,7 @@
 		info := worker.Info{ID: id, Pool: pool, Address: address, State: worker.Ready, Capacity: capacity, Labels: []string{"a", fmt.Sprintf("rack-%d", i/4)}, StartedUnixMs: 1}
 		p.Fleet.Add(info)
 		p.mu.Lock()
-		p.workers[id] = newIncarnation(info, 0)
+		p.workers[id] = newIncarnation(info)
 		p.machines["m-"+string(id)] = &machine{
 			Machine: "m-" + string(id), Pool: pool, State: "up", Labels: info.Labels, ID: string(id),
 			Capacity: map[string]any{"cpu": capacity.CPU, "mem-mb": capacity.MemoryMB},
--- a/testbed/standin/restart.go
+++ b/testbed/standin/restart.go
@@ -7,34 +7,16 @@
 	"peridotcrank.dev/jobs/worker"
 )
 
-// MaxLease is the longest lease that a worker grants. A longer one is shortened.
-const MaxLease = 6 * time.Second
-
 // incarnation is a worker from one of its starts until the next.
 type incarnation struct {
-	info worker.Info
-	// clockOffset is the fleet's clock when this incarnation's clock showed zero.
-	clockOffset time.Duration
-	ctx         context.Context // Ends with the connections of this incarnation.
-	disconnect  context.CancelFunc
+	info       worker.Info
+	ctx        context.Context // Ends with the connections of this incarnation.
+	disconnect context.CancelFunc
 }
 
-func newIncarnation(info worker.Info, clockOffset time.Duration) *incarnation {
+func newIncarnation(info worker.Info) *incarnation {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &incarnation{info: info, clockOffset: clockOffset, ctx: ctx, disconnect: cancel}
-}
-
-// leaseExpiry converts the expiry of a lease from the worker's clock to the fleet's clock.
-func (i *incarnation) leaseExpiry(dueMS int64, fleetClock time.Duration) time.Duration {
-	if dueMS == 0 {
-		return 0
-	}
-	return min(time.Duration(dueMS)*time.Millisecond+i.clockOffset, fleetClock+MaxLease)
-}
-
-// clockMS converts a reading of the fleet's clock to the worker's clock.
-func (i *incarnation) clockMS(fleetClock time.Duration) int64 {
-	return (fleetClock - i.clockOffset).Milliseconds()
+	return &incarnation{info: info, ctx: ctx, disconnect: cancel}
 }
 
 // Restart describes how a worker restarts.
@@ -46,13 +28,13 @@
 	RegisterAfter time.Duration
 }
 
-// RestartWorker restarts a worker under its ID with a later start time and a new clock.
+// RestartWorker restarts a worker under its ID with a later start time.
 func (p *Platform) RestartWorker(id worker.ID, restart Restart) error {
 	p.mu.Lock()
 	former := p.workers[id]
 	info := former.info
 	info.StartedUnixMs++
-	next := newIncarnation(info, p.fleetClock()-firstClockReading)
+	next := newIncarnation(info)
 	p.workers[id] = next
 	p.Fleet.Add(info)
 	p.mu.Unlock()
@@ -70,8 +52,6 @@
 	return nil
 }
 
-func (p *Platform) fleetClock() time.Duration { return time.Since(p.startedAt) }
-
 func (p *Platform) incarnation(id worker.ID) *incarnation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/testbed/standin/workers.go
+++ b/testbed/standin/workers.go
@@ -21,12 +21,14 @@
 	AckedUpTo uint64 `json:"acked-upto"`
 	WaitMS    int64  `json:"wait-ms"`
 
-	leaseExpiry time.Duration // On the fleet's clock.
 	// task is the decoded Task.
 	task job.TaskRef
 	to   *incarnation
 }
 
+// leaseExpiry returns the expiry of the lease on the worker's clock.
+func (o order) leaseExpiry() time.Duration { return time.Duration(o.DueMS) * time.Millisecond }
+
 var refusalReasons = map[error]string{
 	worker.ErrFenced: "fence", worker.ErrStaleRun: "old", worker.ErrLeaseExpired: "late", worker.ErrNoCapacity: "room",
 }
@@ -37,19 +39,19 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", p.serveOrder(id, func(ctx context.Context, o order) (any, error) {
 		clock, err := p.Fleet.Start(ctx, to, worker.Start{
-			Task: o.task, Run: o.Run, Spec: o.Spec, LeaseExpiry: o.leaseExpiry, Fence: o.Fence, SavedCheckpoint: o.Saved,
+			Task: o.task, Run: o.Run, Spec: o.Spec, LeaseExpiry: o.leaseExpiry(), Fence: o.Fence, SavedCheckpoint: o.Saved,
 		})
-		return map[string]any{"clock-ms": o.to.clockMS(clock)}, err
+		return map[string]any{"clock-ms": clock.Milliseconds()}, err
 	}))
 	mux.HandleFunc("POST /run-stop", p.serveOrder(id, func(ctx context.Context, o order) (any, error) {
 		clock, err := p.Fleet.Stop(ctx, to, o.task, o.Run, o.Fence)
-		return map[string]any{"clock-ms": o.to.clockMS(clock)}, err
+		return map[string]any{"clock-ms": clock.Milliseconds()}, err
 	}))
 	mux.HandleFunc("POST /hold", p.serveOrder(id, func(ctx context.Context, o order) (any, error) {
 		status, err := p.Fleet.Hold(ctx, to, worker.Hold{
-			Fence: o.Fence, AckedUpTo: o.AckedUpTo, LeaseExpiry: o.leaseExpiry, Wait: time.Duration(o.WaitMS) * time.Millisecond,
+			Fence: o.Fence, AckedUpTo: o.AckedUpTo, LeaseExpiry: o.leaseExpiry(), Wait: time.Duration(o.WaitMS) * time.Millisecond,
 		})
-		return encodeStatus(status, o.to), err
+		return encodeStatus(status), err
 	}))
 	return mux
 }
@@ -102,7 +104,6 @@
 		return order{}, err
 	}
 	o.to = p.incarnation(id)
-	o.leaseExpiry = o.to.leaseExpiry(o.DueMS, p.fleetClock())
 	if o.Task == "" {
 		return o, nil
 	}
@@ -111,7 +112,7 @@
 	return o, err
 }
 
-func encodeStatus(s worker.Status, from *incarnation) map[string]any {
+func encodeStatus(s worker.Status) map[string]any {
 	running, ended := []any{}, []any{}
 	for _, r := range s.Running {
 		running = append(running, []any{r.Task.String(), r.Run, r.SavedCheckpoint, r.Percent, r.Measure})
@@ -119,5 +120,5 @@
 	for _, e := range s.EndedRuns {
 		ended = append(ended, []any{e.Number, e.Task.String(), e.Run, e.Outcome.String(), e.SavedCheckpoint})
 	}
-	return map[string]any{"clock-ms": from.clockMS(s.ClockTime), "born": s.StartedUnixMs, "running": running, "ended": ended}
+	return map[string]any{"clock-ms": s.ClockTime.Milliseconds(), "born": s.StartedUnixMs, "running": running, "ended": ended}
 }
