Simulated workers: a lease ends by the clock, also when its timer is late

The stand-in's process had got no CPU time, so both timers were late. A start elsewhere now first ends the runs of workers whose lease has expired.

--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -91,6 +91,10 @@
 		}
 	}
 	for _, other := range f.workers {
+		// The timer of the lease is late when this process gets no CPU time.
+		if other.runs[order.Task] != nil && other.leaseExpiry < f.clock(other) {
+			f.expireLease(other)
+		}
 		if r := other.runs[order.Task]; r != nil {
 			f.recordViolation("%v run %d starts on %s while run %d is on %s", order.Task, order.Run, w.info.ID, r.number, other.info.ID)
 		}
@@ -165,9 +169,14 @@
 	w.leaseTimer = time.AfterFunc(leaseExpiry-clock, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.voidUnackedRunEnds(w)
-		for _, r := range w.runs {
-			f.endRunLocked(w, r, worker.LeaseExpired)
-		}
+		f.expireLease(w)
 	})
 }
+
+// expireLease ends all runs of a worker whose lease has expired.
+func (f *Fleet) expireLease(w *simulatedWorker) {
+	f.voidUnackedRunEnds(w)
+	for _, r := range w.runs {
+		f.endRunLocked(w, r, worker.LeaseExpired)
+	}
+}
