--- a/testbed/soak/process.go
+++ b/testbed/soak/process.go
@@ -1,13 +1,12 @@
 package soak
 
 import (
+	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -22,12 +21,16 @@
 	readyAddress   string
 	storeProxy     *proxy
 
-	mu      sync.Mutex
-	command *exec.Cmd
+	mu          sync.Mutex
+	command     *exec.Cmd
+	suspendedAt time.Time // When it was last suspended.
 	// exited is closed while the program is not running.
 	exited chan struct{}
 }
 
+// maxLease is the longest lease of the simulated workers.
+const maxLease = 6 * time.Second
+
 const settingsTemplate = `member: %s
 zone: zone-a
 cpu: 0.5
@@ -40,7 +43,7 @@
   store: %s
   machines: "%s"
 leases:
-  max_hold: 6s
+  max_hold: %s
 timing:
   grace: 6s
   keep_ended: 120s
@@ -64,15 +67,15 @@
 	if err != nil {
 		return nil, err
 	}
-	var ports [4]string
-	for i := range ports {
-		if ports[i], err = freeAddress(); err != nil {
+	var addresses [4]string
+	for i := range addresses {
+		if addresses[i], err = ports.takeAddress(); err != nil {
 			return nil, err
 		}
 	}
-	p := &process{name: name, binary: binary, settingsFile: filepath.Join(dir, name+".yaml"), callersAddress: ports[0], readyAddress: ports[1], storeProxy: storeProxy, exited: make(chan struct{})}
+	p := &process{name: name, binary: binary, settingsFile: filepath.Join(dir, name+".yaml"), callersAddress: addresses[0], readyAddress: addresses[1], storeProxy: storeProxy, exited: make(chan struct{})}
 	close(p.exited)
-	settings := fmt.Sprintf(settingsTemplate, name, ports[0], ports[1], ports[2], ports[3], storeProxy.address(), machines)
+	settings := fmt.Sprintf(settingsTemplate, name, addresses[0], addresses[1], addresses[2], addresses[3], storeProxy.address(), machines, maxLease)
 	if withKeys {
 		settings += fmt.Sprintf(keysTemplate, revokeTime)
 	}
@@ -84,30 +87,12 @@
 }
 
 const (
-	// Ports are below the range that the system uses for outgoing connections, and
-	// concurrent soaks use separate ports, so that a process can listen on the same
-	// ports again after a restart.
-	firstPort    = 20000
-	lastPort     = 32000
-	portsPerSoak = 100
+	// starvedSuspension and starvedTurn are how long a process short of CPU is suspended
+	// and runs in turn.
+	starvedSuspension = 80 * time.Millisecond
+	starvedTurn       = 20 * time.Millisecond
 )
 
-var portsTaken atomic.Int32
-
-func freeAddress() (string, error) {
-	var err error
-	for range portsPerSoak {
-		n := os.Getpid()*portsPerSoak + int(portsTaken.Add(1))
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
-		var listener net.Listener
-		if listener, err = net.Listen("tcp", address); err == nil {
-			listener.Close()
-			return address, nil
-		}
-	}
-	return "", fmt.Errorf("no free port found: %w", err)
-}
-
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -133,10 +118,30 @@
 	select {
 	case <-p.exited:
 	default:
+		if s == syscall.SIGSTOP {
+			p.suspendedAt = time.Now()
+		}
 		p.command.Process.Signal(s) // It fails only when the process has just exited.
 	}
 }
 
+// starve suspends the process for most of the time until ctx ends, as on a VM short of CPU.
+func (p *process) starve(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.signal(syscall.SIGSTOP)
+		pause(ctx, starvedSuspension)
+		p.signal(syscall.SIGCONT)
+		pause(ctx, starvedTurn)
+	}
+}
+
+// wasSuspendedSince reports whether the process was suspended after a time.
+func (p *process) wasSuspendedSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspendedAt.After(t)
+}
+
 // terminate ends the process with a signal and kills it when it has not exited before the
 // limit. It reports whether it killed the process.
 func (p *process) terminate(s syscall.Signal, limit time.Duration) (forced bool) {
