Do not acquire a shard for a former incarnation of the process

The reply to a takeover could arrive after the process had started a new incarnation. It then acted for a shard whose owner row names the former one, which other processes take for vacant.

TestLateTakeoverIsOfFormerIncarnation failed before: "owns is true".

--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -255,6 +255,31 @@
 	})
 }
 
+// Guards against a process that acts for a shard whose owner row names its former
+// incarnation, because the takeover was answered after it had started a new one. Other
+// processes take such a shard for vacant.
+func TestLateTakeoverIsOfFormerIncarnation(t *testing.T) {
+	withGroup(t, 1, func(g *group) {
+		time.Sleep(5 * time.Second)
+		m := g.members[0]
+		g.runOnLoop(func() {
+			m.startTakeover("late")
+			m.startNewIncarnation()
+		})
+		time.Sleep(3 * g.store.Latency)
+		var owns bool
+		var rowIncarnation, incarnation string
+		g.runOnLoop(func() { owns = m.owns["late"] })
+		assert.Assert(t, !owns)
+		time.Sleep(5 * time.Second)
+		g.runOnLoop(func() {
+			owns, rowIncarnation, incarnation = m.canAct("late"), m.owners["late"].record.Incarnation, m.incarnation
+		})
+		assert.Assert(t, owns, "the shard has no owner")
+		assert.Equal(t, rowIncarnation, incarnation)
+	})
+}
+
 // Guards against shards that have two owners or none after a store outage.
 func TestOutageOfTheStore(t *testing.T) {
 	withGroup(t, 3, func(g *group) {
--- a/jobs/cluster/takeover.go
+++ b/jobs/cluster/takeover.go
@@ -98,7 +98,7 @@
 			// An earlier attempt may have been applied.
 			result, err = m.resolveTakeover(ctx, key, owner, former.version)
 		}
-		m.o.Loop.Post(func() { m.handleTakeoverResult(shard, result, err) })
+		m.o.Loop.Post(func() { m.handleTakeoverResult(shard, owner.Incarnation, result, err) })
 	}()
 }
 
@@ -132,11 +132,13 @@
 	return rows.Result{}, nil
 }
 
-func (m *Manager) handleTakeoverResult(shard string, result rows.Result, err error) {
+// handleTakeoverResult acquires a shard whose owner row names the given incarnation of this
+// process, unless this process has started a new one since. The shard is then vacant.
+func (m *Manager) handleTakeoverResult(shard, incarnation string, result rows.Result, err error) {
 	delete(m.takeoverPending, shard)
 	switch {
 	case err != nil || m.leaving:
-	case result.Applied:
+	case result.Applied && incarnation == m.incarnation:
 		m.acquire(shard, result.Version)
 	default:
 		// Another takeover has changed the rows, for example that of another shard of the
