Credit a confirmed configuration only to the incarnation that got the push

A confirmation that arrived after a restart was credited to the new incarnation, and one of a member that had left created its state again.

TestLateConfirmationIsOfFormerIncarnation failed before: version 7, want 0.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -46,11 +46,15 @@
 
 // configurationConfirmed is the event that a member has acknowledged a push.
 type configurationConfirmed struct {
-	member  fleet.MemberID
-	version uint64
+	member      fleet.MemberID
+	incarnation uint64 // Incarnation to which the push was sent.
+	version     uint64
 }
 
 func (e configurationConfirmed) apply(c *Controller) {
+	if incarnationIn(c.tracker.View(), e.member) != e.incarnation {
+		return // The member has left or restarted since the push.
+	}
 	state := c.peers[e.member]
 	if e.version > state.ConfigVersion {
 		state.ConfigVersion = e.version
@@ -107,7 +111,7 @@
 				c.options.Log.Record(eventlog.ConfigPushFailed, eventlog.Fields{"peer": member.ID, "error": err.Error()})
 				return
 			}
-			c.send(call, configurationConfirmed{member: member.ID, version: push.Version})
+			c.send(call, configurationConfirmed{member: member.ID, incarnation: member.Incarnation, version: push.Version})
 		})
 	}
 }
--- a/control/controller_test.go
+++ b/control/controller_test.go
@@ -184,6 +184,26 @@
 	})
 }
 
+// Guards against a restarted process that is credited with the configuration whose push its
+// former incarnation has confirmed, because the confirmation arrives after the restart, and
+// against the state of a process that has left.
+func TestLateConfirmationIsOfFormerIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t, 3)
+		pusher := cluster.controller(0)
+		former := incarnationIn(pusher.State().Members, "entry-3")
+		pusher.send(t.Context(), configurationConfirmed{member: "entry-3", incarnation: former - 1, version: 7})
+		pusher.send(t.Context(), configurationConfirmed{member: "entry-9", incarnation: 1, version: 7})
+		cluster.sleep(time.Second)
+		assert.Equal(t, pusher.State().Peers["entry-3"].ConfigVersion, uint64(0))
+		_, known := pusher.State().Peers["entry-9"]
+		assert.Assert(t, !known)
+		pusher.send(t.Context(), configurationConfirmed{member: "entry-3", incarnation: former, version: 7})
+		cluster.sleep(100 * time.Millisecond)
+		assert.Equal(t, pusher.State().Peers["entry-3"].ConfigVersion, uint64(7))
+	})
+}
+
 // Guards against a process that confirms a drain before it routes by the drain's revision.
 func TestDrainReplyHoldsRevisionInUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
