Repeat a maintenance order only while its VM is vacated

An order without a reply, or one that the platform throttled, was sent again without a look at the pool's reports, so that it could end tasks that a new owner of the pool had started since, with ends that are not stored. A report that was handled long after its request is not used either.

TestOrderIsRepeatedOnlyWhileVacated failed before: 1 order in use, want 0.

--- a/jobs/maintenance/manager.go
+++ b/jobs/maintenance/manager.go
@@ -55,6 +55,8 @@
 	listInFlight    bool
 	demands         map[string]Demand
 	reportInFlight  map[string]bool
+	// reportRequestedAt is when the report in demands was requested, by pool.
+	reportRequestedAt map[string]time.Duration
 	// unaccountedAt is when a pool's owner last reported a new unaccounted worker.
 	unaccountedAt map[string]time.Duration
 	operations    map[string]*operation
@@ -70,7 +72,7 @@
 		return nil, errors.New("maintenance: a required option is not set")
 	}
 	return &Manager{
-		o: o, waves: map[int64]*waveProgress{}, demands: map[string]Demand{}, reportInFlight: map[string]bool{}, unaccountedAt: map[string]time.Duration{},
+		o: o, waves: map[int64]*waveProgress{}, demands: map[string]Demand{}, reportInFlight: map[string]bool{}, reportRequestedAt: map[string]time.Duration{}, unaccountedAt: map[string]time.Duration{},
 		operations: map[string]*operation{}, backoffUntil: map[string]time.Duration{},
 	}, nil
 }
--- a/jobs/maintenance/manager_test.go
+++ b/jobs/maintenance/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -83,6 +84,18 @@
 	return d, nil
 }
 
+// testOptions returns options of a manager, without a fence.
+func testOptions(machines MachineService, owners PoolOwners, store *rowstest.Store, l *loop.Loop) Options {
+	testStart := time.Now()
+	return Options{
+		Loop: l, Clock: func() time.Duration { return time.Since(testStart) + time.Second }, WallClock: time.Now,
+		MachineService: machines, PoolOwners: owners, Store: store, Recorder: eventlog.Discard, OwnsShard: func() bool { return true },
+		OwnerKey:     rows.Key{Table: "owner", Name: "fleet"},
+		StatusRow:    func(int64, bool) rows.Row { return rows.Row{Key: rows.Key{Table: "status", Name: "wave"}} },
+		MoveDuration: time.Second, MaintenanceDuration: maintenanceDuration,
+	}
+}
+
 // Guards against more VMs in maintenance than the wave's cap around a change of
 // owner, when the next owner does not know of orders that were carried out just
 // before; and, if the hand-over is planned, against VMs that are serviced twice.
@@ -93,24 +106,19 @@
 			defer cancel()
 			fleet, store, l := newSimulatedVMs(24), &rowstest.Store{Latency: 4 * time.Millisecond}, loop.New()
 			go l.Run(ctx)
-			testStart, key := time.Now(), rows.Key{Table: "owner", Name: "fleet"}
+			o := testOptions(fleet, fleet, store, l)
 			wave := Wave{Number: 1, Period: 60 * time.Second, Cap: 4}
 			for _, v := range fleet.machines {
 				wave.Machines = append(wave.Machines, v.Name)
 			}
-			for term := range 6 {
-				store.Put(rows.Row{Key: key})
-				m, err := New(Options{
-					Fence: uint64(term + 1), Loop: l, Clock: func() time.Duration { return time.Since(testStart) + time.Second }, WallClock: time.Now,
-					MachineService: fleet, PoolOwners: fleet, Store: store, Recorder: eventlog.Discard, OwnsShard: func() bool { return true },
-					OwnerKey: key, StatusRow: func(int64, bool) rows.Row { return rows.Row{Key: rows.Key{Table: "status", Name: "wave"}} },
-					MoveDuration: time.Second, MaintenanceDuration: maintenanceDuration,
-				})
-				assert.NilError(t, err)
+			for range 6 {
+				store.Put(rows.Row{Key: o.OwnerKey})
 				// The fence is the version of the owner's row.
-				page, err := store.Read(ctx, key.Table, key.Part, key.Name)
+				page, err := store.Read(ctx, o.OwnerKey.Table, o.OwnerKey.Part, o.OwnerKey.Name)
+				assert.NilError(t, err)
+				o.Fence = page.Rows[0].Version
+				m, err := New(o)
 				assert.NilError(t, err)
-				m.o.Fence = page.Rows[0].Version
 				l.Call(ctx, func() {
 					m.SetPools([]string{"a"}, "")
 					m.SetWaves([]Wave{wave})
@@ -131,3 +139,71 @@
 		})
 	}
 }
+
+var errNoReply = errors.New("no reply from the simulated platform")
+
+// contestedVMs are simulated VMs whose first order gets no reply and is not carried out.
+// Their pool's owner then uses them until inUse is reset.
+type contestedVMs struct {
+	*simulatedVMs
+	orders      int
+	inUse       bool
+	ordersInUse int
+}
+
+func (f *contestedVMs) Maintain(ctx context.Context, name string, wave int64, fence uint64) error {
+	f.mu.Lock()
+	f.orders++
+	if f.inUse {
+		f.ordersInUse++
+	}
+	if f.orders == 1 {
+		f.inUse = true
+		f.mu.Unlock()
+		return errNoReply
+	}
+	f.mu.Unlock()
+	return f.simulatedVMs.Maintain(ctx, name, wave, fence)
+}
+
+func (f *contestedVMs) RequestReport(ctx context.Context, pool string, instructions PoolInstructions) (Demand, error) {
+	f.mu.Lock()
+	inUse := f.inUse
+	f.mu.Unlock()
+	if inUse {
+		instructions.Vacate = nil
+	}
+	return f.simulatedVMs.RequestReport(ctx, pool, instructions)
+}
+
+// Guards against an order that is repeated by an old report, although the VM has got tasks
+// since, for example from a new owner of its pool; and against an order that is not
+// repeated when the VM is vacated again.
+func TestOrderIsRepeatedOnlyWhileVacated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		fleet, store, l := &contestedVMs{simulatedVMs: newSimulatedVMs(1)}, &rowstest.Store{Latency: 4 * time.Millisecond}, loop.New()
+		go l.Run(ctx)
+		o := testOptions(fleet, fleet, store, l)
+		o.Fence = 1
+		m, err := New(o)
+		assert.NilError(t, err)
+		l.Call(ctx, func() {
+			m.SetPools([]string{"a"}, "")
+			m.SetWaves([]Wave{{Number: 1, Period: 60 * time.Second, Cap: 1, Machines: []string{"vm-0"}}})
+			m.Start()
+		})
+		time.Sleep(4 * time.Second)
+		fleet.mu.Lock()
+		orders, ordersInUse := fleet.orders, fleet.ordersInUse
+		fleet.inUse = false
+		fleet.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		l.Call(ctx, m.Stop)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, orders > 0)
+		assert.Equal(t, ordersInUse, 0)
+		assert.Equal(t, fleet.services["vm-0"], 1)
+	})
+}
--- a/jobs/maintenance/operations.go
+++ b/jobs/maintenance/operations.go
@@ -66,7 +66,7 @@
 		delete(m.operations, op.Machine)
 		return
 	}
-	if op.machine.Pool == m.sparePool || m.demands[op.machine.Pool].Workers[op.machine.Worker].Vacated {
+	if m.isVacated(&op.machine, now) {
 		m.sendOrder(op)
 		return
 	}
@@ -76,6 +76,26 @@
 	}
 }
 
+// isVacated reports whether nothing is lost when a VM becomes unavailable.
+func (m *Manager) isVacated(machine *Machine, now time.Duration) bool {
+	if machine.Pool == m.sparePool {
+		return true
+	}
+	return now-m.reportRequestedAt[machine.Pool] <= maxReportAge && m.demands[machine.Pool].Workers[machine.Worker].Vacated
+}
+
+// canRepeat reports whether the order of an operation can be sent again: it has no effect
+// any more, or its VM is not up or vacated.
+func (m *Manager) canRepeat(op *operation, now time.Duration) bool {
+	current, ok := m.machine(op.Machine)
+	if !ok {
+		return true
+	}
+	op.machine = current
+	moved := op.Kind == Move && current.Pool == op.Pool
+	return moved || current.State != Up || m.isVacated(&current, now)
+}
+
 // sendOrder sends the order of an operation to the platform. Retries of the same
 // operation carry the same fence.
 func (m *Manager) sendOrder(op *operation) {
@@ -130,7 +150,7 @@
 	if m.stopped || m.draining || op.inFlight || m.operations[op.Machine] != op {
 		return
 	}
-	if !m.o.OwnsShard() {
+	if !m.o.OwnsShard() || !m.canRepeat(op, m.o.Clock()) {
 		m.o.Loop.After(retryDelay, func() { m.retryOrder(op) })
 		return
 	}
--- a/jobs/maintenance/reports.go
+++ b/jobs/maintenance/reports.go
@@ -8,7 +8,12 @@
 	"peridotcrank.dev/jobs/worker"
 )
 
-const reportTimeout = 400 * time.Millisecond
+const (
+	reportTimeout = 400 * time.Millisecond
+	// maxReportAge is the age up to which a report shows that a worker is vacated. A pool's
+	// owner keeps a worker vacated for 1.5 s after an instruction.
+	maxReportAge = time.Second
+)
 
 // requestReport sends instructions to a pool's owner and stores the demand that it
 // reports. At most one request per pool is in flight.
@@ -17,6 +22,7 @@
 		return
 	}
 	m.reportInFlight[pool] = true
+	sent := m.o.Clock()
 	var vacate []worker.ID
 	for _, op := range m.operations {
 		if op.machine.Pool == pool && op.machine.Worker != "" && op.phase != awaitingReturn {
@@ -35,7 +41,7 @@
 				return
 			}
 			m.trackUnaccounted(pool, demand.Unaccounted)
-			m.demands[pool] = demand
+			m.demands[pool], m.reportRequestedAt[pool] = demand, sent
 		})
 	}()
 }
