Await unanswered starts for the former incarnation beyond the lease of the next one

A worker that had restarted, replied and become unreachable lost all its runs when its lease expired. A start without a reply that was sent to the former incarnation names a time on that one's clock, so that it could still begin afterwards, beside a second run of its task. Such a run is now removed once the order can no longer be carried out and its longest lease has expired. Runs of other starts are removed as before.

TestUnansweredStartIsAwaitedAfterRestart failed before: "run 1 starts on w0 while run 2 is on w1".

--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -94,7 +94,7 @@
 	w.restarted, w.rowQueued = true, true
 	s.journal.workerRows = append(s.journal.workerRows, w)
 	s.moveUncertainRuns(former, w)
-	s.stopUnansweredStarts(w)
+	s.stopUnansweredStarts(w, former)
 	return w
 }
 
@@ -109,7 +109,7 @@
 			ended = append(ended, a)
 		case a.phase == stopping:
 			s.removeAttempt(a)
-			s.stopAttempt(s.addDiscoveredRun(next, key))
+			s.stopMovedRun(next, former, key)
 		default:
 			a.moveTo(next)
 		}
@@ -135,8 +135,7 @@
 	if w.failedHolds == 0 || w.clock > 0 {
 		return
 	}
-	answeredRunsEnd := w.knownSince + orderTimeout + time.Duration(float64(s.maxLease())/minClockRate) + leaseMargin
-	unansweredRunsEnd := answeredRunsEnd + maxOrderDelay
+	answeredRunsEnd, unansweredRunsEnd := s.formerOrdersEnd(w)
 	var ended []*attempt
 	for _, a := range w.attempts {
 		if a.answeredAt > 0 && now > answeredRunsEnd || a.answeredAt == 0 && (!w.registered || now > unansweredRunsEnd) {
@@ -146,6 +145,26 @@
 	s.removeRuns(w, ended, neverAnswered, nil)
 }
 
+// formerOrdersEnd returns when the runs of starts for the former incarnation of a worker can
+// no longer execute: those with an answer, and those without one.
+func (s *Shard) formerOrdersEnd(w *workerState) (answered, unanswered time.Duration) {
+	answered = w.knownSince + orderTimeout + time.Duration(float64(s.maxLease())/minClockRate) + leaseMargin
+	return answered, answered + maxOrderDelay
+}
+
+// runsBeforeLeaseExpiry returns the runs of a worker that have ended because its lease has
+// expired. After a restart, an unanswered start for the former incarnation may still begin:
+// it names a time on the clock of that incarnation.
+func (s *Shard) runsBeforeLeaseExpiry(w *workerState, now time.Duration) (ended []*attempt) {
+	_, unansweredRunsEnd := s.formerOrdersEnd(w)
+	for _, a := range w.attempts {
+		if a.movedFrom == nil || a.answeredAt > 0 || now > unansweredRunsEnd {
+			ended = append(ended, a)
+		}
+	}
+	return ended
+}
+
 // maxLease returns the longest lease that a worker may have.
 func (s *Shard) maxLease() time.Duration { return max(s.opts.MaxLease, s.opts.LeaseDuration) }
 
@@ -159,12 +178,20 @@
 
 // stopUnansweredStarts stops the runs whose start order may still reach a new incarnation
 // of a worker, unless the order is awaited. The new incarnation does not know about the
-// stop orders that the former one received.
-func (s *Shard) stopUnansweredStarts(w *workerState) {
+// stop orders that the former one received. former is nil if it is not known.
+func (s *Shard) stopUnansweredStarts(w, former *workerState) {
 	s.removeExpiredStarts(w.info.ID)
 	for key := range s.unansweredStarts[w.info.ID] {
 		if w.attempts[key] == nil {
-			s.stopAttempt(s.addDiscoveredRun(w, key))
+			s.stopMovedRun(w, former, key)
 		}
 	}
 }
+
+// stopMovedRun stops a run that may execute on an incarnation of a worker, although its
+// start was sent to the former one.
+func (s *Shard) stopMovedRun(w, former *workerState, key runKey) {
+	a := s.addDiscoveredRun(w, key)
+	a.movedFrom = former
+	s.stopAttempt(a)
+}
--- a/jobs/shard/incarnation_test.go
+++ b/jobs/shard/incarnation_test.go
@@ -311,3 +311,37 @@
 		assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testJobID(1)}), 2, "the task was not started again")
 	})
 }
+
+// Guards against a second run of a task whose start got no reply, while the order may still
+// reach the new incarnation of its worker, which replied and then became unreachable.
+func TestUnansweredStartIsAwaitedAfterRestart(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(1)
+		r.fleet.Delay, r.fleet.DeliverToNewIncarnation = 12*time.Second, true
+		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 30 * time.Second} })
+		o := r.startOwner()
+		time.Sleep(4 * testLease)
+		silent := false
+		r.fleet.SetFault(func(id worker.ID, order string) workertest.Fault {
+			switch {
+			case id != "w0":
+				return workertest.NoFault
+			case order == "start":
+				return workertest.Delayed
+			case order == "stop" || silent:
+				return workertest.RequestLost
+			}
+			return workertest.NoFault
+		})
+		assert.Equal(t, r.submit(o, simpleJob(1, 1)).Code, OK)
+		time.Sleep(100 * time.Millisecond)
+		restarted := r.restartInFleet(0, r.workerInfos[0].Capacity)
+		r.setRegistryEntry(o, 0, restarted)
+		time.Sleep(restartKnownWithin)
+		r.fleet.WithLock(func() { silent = true })
+		r.addWorkers(1)
+		r.publishRegistry(o)
+		time.Sleep(8 * testLease)
+		assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testJobID(1)}), 2, "the task was not started again")
+	})
+}
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -46,7 +46,7 @@
 		w = s.addWorker(info)
 		w.accountedFor = true // A worker that is not in the rows was never used by a former owner.
 		w.trace.knownFromFirstEnd = true
-		s.stopUnansweredStarts(w)
+		s.stopUnansweredStarts(w, nil)
 	}
 	if w.info.StartedUnixMs != 0 && info.StartedUnixMs > w.info.StartedUnixMs {
 		w = s.replaceRestartedWorker(w, info.StartedUnixMs, seenInRegistry)
@@ -225,8 +225,12 @@
 		if err == nil || s.stopped || !w.leaseExpired(now) || now-sent > orderTimeout+maxProcessDelay {
 			return
 		}
-		s.recordEvent(eventlog.WorkerLeasePassed, eventlog.Fields{"worker": w.info.ID, "runs": len(w.attempts)})
-		s.removeAttempts(w, leaseExpired)
+		ended := s.runsBeforeLeaseExpiry(w, now)
+		if len(ended) == 0 {
+			return
+		}
+		s.recordEvent(eventlog.WorkerLeasePassed, eventlog.Fields{"worker": w.info.ID, "runs": len(ended)})
+		s.removeRuns(w, ended, leaseExpired, nil)
 		s.schedulePlacement()
 	})
 }
