A late process takes a confirmation of the incarnation for enough for 500 ms

Owners in a surge handle replies over 100 ms late, so that each acknowledgement waited for another request and the worker had no hold meanwhile.

Change: no pause, and a confirmation is enough for 500 ms.

--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -34,6 +34,9 @@
 	if s.journal.generation > 1 && now < s.ownerSince+maxOrderDelay {
 		return true
 	}
+	if now-w.confirmedAt <= maxConfirmationAge {
+		return false
+	}
 	for _, a := range w.attempts {
 		if a.timing.listedClock == 0 && (a.phase == stopping || now-a.sentAt >= minRestartAndRun) {
 			return true
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -133,9 +133,9 @@
 	// minRestartAndRun is less than the time that a worker takes to restart and to complete a
 	// run.
 	minRestartAndRun = 100 * time.Millisecond
-	// maxUnacknowledgedEnds is the number of stored ends from which they are acknowledged
-	// although the incarnation is not confirmed. Each status lists all of them.
-	maxUnacknowledgedEnds = 100
+	// maxConfirmationAge is the age up to which the answered request for a confirmation is
+	// enough. Without it, a process that handles replies late would never acknowledge.
+	maxConfirmationAge = 500 * time.Millisecond
 	// minClockRate is the slowest rate of a worker's clock relative to real time.
 	minClockRate = 0.98
 	// minUnansweredHolds is the number of consecutive holds without a reply from which a
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -250,7 +250,7 @@
 	statusTakenAt   time.Duration // When that status was taken at the earliest.
 	clockOffset     time.Duration // Lower bound of the shard's clock minus the worker's clock.
 	ackedEnd        uint64        // Number up to which the worker has confirmed an acknowledgement.
-	checkSentAt     time.Duration // When the last hold without an acknowledgement was sent to confirm the incarnation.
+	confirmedAt     time.Duration // When a hold without an acknowledgement was last sent to confirm the incarnation.
 	holdRepliedAt   time.Duration // When the last hold was answered.
 	// endWindow is how long before the clock of that status its ends may have happened.
 	endWindow time.Duration
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -165,11 +165,7 @@
 	if w.lastAppliedEnd > w.lastCommittedEnd && now-w.holdSentAt < maxRenewalInterval {
 		return // When the commit in flight completes, it sends a hold that acknowledges the ends.
 	}
-	unacknowledged := w.lastCommittedEnd - w.ackedEnd
-	confirm := unacknowledged > 0 && unacknowledged <= maxUnacknowledgedEnds && s.mayHaveUnseenEnds(w, now)
-	if confirm && now-w.checkSentAt < holdRetryDelay {
-		return
-	}
+	confirm := w.lastCommittedEnd > w.ackedEnd && s.mayHaveUnseenEnds(w, now)
 	order := worker.Hold{Fence: s.opts.Fence}
 	// A worker that did not reply is queried without renewing its lease and without an
 	// acknowledgement. It might receive the renewal although its reply is lost, which would
@@ -178,7 +174,7 @@
 		order.LeaseExpiry = max(w.minClockNow(now)+s.opts.LeaseDuration, w.maxLeaseExpiry)
 		w.maxLeaseExpiry = order.LeaseExpiry
 		if confirm {
-			w.checkSentAt = now
+			w.confirmedAt = now
 		} else {
 			order.Wait = s.holdWait(w)
 			order.AckedUpTo = w.acknowledgeUpTo()
