The age of a status allows for a worker's slow clock

The smallest difference between the clocks never grew again, so with a clock that is 2% slow each status would have counted as older than it is, after 5 s by more than maxIncarnationAge, and each acknowledgement would have been preceded by a status request. The difference may grow at the rate of the slowest clock now.

The simulated clocks are not slow, so no test shows the extra requests.

--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -276,10 +276,13 @@
 // noteStatusTime stores when a status was taken that arrived at the given time. It may have
 // been on its way for long, and the worker may have restarted since it was taken.
 func (w *workerState) noteStatusTime(clock worker.ClockTime, arrived time.Duration) {
-	if offset := arrived - clock; w.statusTakenAt == 0 || offset < w.clockOffset {
-		w.clockOffset = offset
+	offset := arrived - clock
+	if w.statusTakenAt > 0 {
+		// The worker's clock may be slow, which lets the difference grow.
+		elapsed := max(arrived-w.statusTakenAt, 0)
+		offset = min(offset, w.clockOffset+elapsed-time.Duration(float64(elapsed)*minClockRate))
 	}
-	w.statusTakenAt = clock + w.clockOffset
+	w.clockOffset, w.statusTakenAt = offset, clock+offset
 }
 
 // leaseExpiry returns the latest time at which the worker's lease expires, on the
