--- a/control/controller_test.go
+++ b/control/controller_test.go
@@ -184,9 +184,7 @@
 	})
 }
 
-// Guards against a restarted process that is credited with the configuration whose push its
-// former incarnation has confirmed, because the confirmation arrives after the restart, and
-// against the state of a process that has left.
+// Guards against a confirmation of a configuration that counts for the next incarnation of its process.
 func TestLateConfirmationIsOfFormerIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cluster := newTestCluster(t, 3)
--- a/eventlog/async_test.go
+++ b/eventlog/async_test.go
@@ -54,9 +54,7 @@
 	return b.Buffer.Write(p)
 }
 
-// Guards against a takeover, a restart or a removed run that is missing in the log
-// because refused calls have filled the queue of a slow reader, second after second, and
-// against dropped lines that are not counted by their event.
+// Guards against lines of rare events that are dropped, or not counted, because frequent ones fill the queue.
 func TestFrequentEventsDoNotCrowdOutRareOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const queue, frequent, seconds = 400, 200, 30
--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -255,9 +255,7 @@
 	})
 }
 
-// Guards against a process that acts for a shard whose owner row names its former
-// incarnation, because the takeover was answered after it had started a new one. Other
-// processes take such a shard for vacant.
+// Guards against a process that acts for a shard whose owner row names its former incarnation.
 func TestLateTakeoverIsOfFormerIncarnation(t *testing.T) {
 	withGroup(t, 1, func(g *group) {
 		time.Sleep(5 * time.Second)
--- a/jobs/maintenance/manager_test.go
+++ b/jobs/maintenance/manager_test.go
@@ -176,9 +176,7 @@
 	return f.simulatedVMs.RequestReport(ctx, pool, instructions)
 }
 
-// Guards against an order that is repeated by an old report, although the VM has got tasks
-// since, for example from a new owner of its pool; and against an order that is not
-// repeated when the VM is vacated again.
+// Guards against an order for a VM that is repeated although the VM has got tasks since.
 func TestOrderIsRepeatedOnlyWhileVacated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/jobs/shard/incarnation_test.go
+++ b/jobs/shard/incarnation_test.go
@@ -44,8 +44,7 @@
 	o.callOnLoop(func() { o.SetWorkers(r.workerInfos) })
 }
 
-// Guards against a registry entry of a former incarnation that replaces the known one, so
-// that the next status looks like one more restart and drops the runs in progress.
+// Guards against an old registry entry that makes the next status look like one more restart.
 func TestOldRegistryEntryIsNotARestart(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		events := codeCounter{}
@@ -66,8 +65,7 @@
 	})
 }
 
-// Guards against tasks for a new incarnation by the capacity of the former one, whose
-// registry entry is the last that was read.
+// Guards against tasks for a new incarnation of a worker by the capacity of the former one.
 func TestSmallerIncarnationGetsNoTasksBeforeItsEntry(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(1)
@@ -85,8 +83,7 @@
 	})
 }
 
-// Guards against tasks by the capacity of an entry that names no start time, which may be
-// that of a former incarnation, and against restarts that such an entry hides.
+// Guards against tasks by an entry without a start time, and against restarts that it hides.
 func TestEntryWithoutStartTimeIsNotUsed(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		events := codeCounter{}
@@ -108,8 +105,7 @@
 	})
 }
 
-// Guards against an owner that counts an incarnation as unused because the row of the
-// worker names the former one, while a start of the former owner runs there.
+// Guards against an owner that counts an incarnation as unused because its row names the former one.
 func TestTakeoverWaitsForIncarnationThatItsRowDoesNotName(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(1)
@@ -136,8 +132,7 @@
 	})
 }
 
-// Guards against runs that are not counted, and start again, because a restart of their
-// worker drops starts that the new incarnation had answered before the owner knew of it.
+// Guards against starts answered by a new incarnation that are dropped when the restart becomes known.
 func TestRestartKeepsStartsAnsweredByNewIncarnation(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(1)
@@ -178,8 +173,7 @@
 	return o, restarted
 }
 
-// Guards against a second run of a task whose start gave the new incarnation of a worker a
-// longer lease than the owner has sent to it.
+// Guards against a second run beside one whose lease, on the former clock, is longer than those sent since.
 func TestLeaseOnFormerClockIsAwaited(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		o, restarted := silentRestartRig(r)
@@ -191,8 +185,7 @@
 	})
 }
 
-// Guards against a second run of a task because its worker, which restarted and has not
-// replied since, is missing from the registry while its lease has not expired.
+// Guards against a second run because a silent restarted worker is missing from the registry.
 func TestMissingEntryOfSilentIncarnationKeepsRuns(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		o, restarted := silentRestartRig(r)
@@ -206,8 +199,7 @@
 	})
 }
 
-// Guards against runs that are not counted because their start gets no reply, is carried
-// out late, and its worker was removed and registered again meanwhile.
+// Guards against an unanswered start that does not count after its worker was registered again.
 func TestUnansweredStartCountsAfterRegistration(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(1)
@@ -237,8 +229,7 @@
 	})
 }
 
-// Guards against capacity that counts as free while runs are being stopped and no stop is
-// answered.
+// Guards against capacity that counts as free while no stop of its runs is answered.
 func TestUnansweredStopsKeepCapacity(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(1)
@@ -262,8 +253,7 @@
 	})
 }
 
-// Guards against tasks beside runs whose resources are unknown after a takeover, because
-// their job has ended or its row cannot be decoded.
+// Guards against tasks beside runs whose resources are unknown after a takeover.
 func TestRunsOfUnknownJobsBlockTheirWorker(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(1)
@@ -284,8 +274,7 @@
 	})
 }
 
-// Guards against leases that are longer than those that the next owner waits for, because
-// the lease that a restarted worker may have is sent to it in a hold.
+// Guards against leases for a restarted worker that are longer than the next owner waits.
 func TestRestartedWorkerGetsNoLongerLease(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		o, restarted := silentRestartRig(r)
@@ -298,8 +287,7 @@
 	})
 }
 
-// Guards against a next owner that waits only for the leases that were sent, although its
-// silent worker has restarted and may have shortened an older order to its longest lease.
+// Guards against a next owner that does not wait for the longest lease of a silent restarted worker.
 func TestTakeoverAwaitsLongestLeaseOfRestartedWorker(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		o, restarted := silentRestartRig(r)
@@ -312,8 +300,7 @@
 	})
 }
 
-// Guards against a second run of a task whose start got no reply, while the order may still
-// reach the new incarnation of its worker, which replied and then became unreachable.
+// Guards against a second run while an unanswered start may still reach the new incarnation of its worker.
 func TestUnansweredStartIsAwaitedAfterRestart(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(1)
--- a/jobs/shard/random_test.go
+++ b/jobs/shard/random_test.go
@@ -46,8 +46,7 @@
 	}
 }
 
-// Guards against the same, and against workers over their capacity, when workers restart
-// under their IDs, some with less capacity, and the registry follows later.
+// Guards against the same when workers restart under their IDs and the registry follows later.
 func TestRandomFaultsWithRestarts(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/jobs/shard/restart_test.go
+++ b/jobs/shard/restart_test.go
@@ -12,8 +12,7 @@
 	"peridotcrank.dev/jobs/worker/workertest"
 )
 
-// Guards against an acknowledgement for the ends of one incarnation of a worker that
-// reaches the next incarnation, which then forgets ends that the owner has not seen.
+// Guards against an acknowledgement that makes the next incarnation of a worker forget ends.
 func TestAcknowledgementDoesNotReachNextIncarnation(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(1)
@@ -30,8 +29,7 @@
 	})
 }
 
-// Guards against the same while a transaction takes long: the worker restarts between the
-// status that listed an end and the acknowledgement of that end.
+// Guards against the same while the transaction before the acknowledgement takes long.
 func TestLateAcknowledgementDoesNotReachNextIncarnation(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.store.PartServiceTime = 500 * time.Millisecond
@@ -57,8 +55,7 @@
 	})
 }
 
-// Guards against a second run of a task whose start had reached the next incarnation of a
-// worker before the owner knew of the restart.
+// Guards against a second run of a task whose start had reached the next incarnation of a worker.
 func TestRestartKeepsRunsOfNextIncarnation(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(2)
--- a/jobs/shard/runends_test.go
+++ b/jobs/shard/runends_test.go
@@ -130,8 +130,7 @@
 	}},
 }
 
-// Guards against a task that is started again after its run has ended as done and the end
-// was listed, at each step from the worker's list to the acknowledgement.
+// Guards against a second run of a task that ended as done, at each step from the list to the acknowledgement.
 func TestEndIsNotLostAtAnyStep(t *testing.T) {
 	for _, step := range endSteps {
 		for _, d := range disturbances {
@@ -222,8 +221,7 @@
 	})
 }
 
-// Guards against tasks that start again before their workers were asked, because the rows
-// were loaded only after all leases of the former owner had expired.
+// Guards against tasks that start again before their workers were asked, because the load took long.
 func TestLoadLongerThanLeases(t *testing.T) {
 	for lostReplies := range minUnansweredHolds {
 		t.Run(fmt.Sprintf("%d replies lost", lostReplies), func(t *testing.T) {
@@ -320,8 +318,7 @@
 	}
 }
 
-// Guards against an end that is skipped and acknowledged because a status lists a later one
-// before it.
+// Guards against an end that is skipped because a status lists a later one before it.
 func TestEndsListedOutOfOrder(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(1)
@@ -343,8 +340,7 @@
 	})
 }
 
-// Guards against an end that is acknowledged before the transaction with its job, when more
-// jobs change at a time than a transaction holds and the rows take several pages.
+// Guards against an end that is acknowledged before the transaction with its job is stored.
 func TestTakeoverAfterPartOfTheEndsIsStored(t *testing.T) {
 	const jobs = 2*maxCommitRows + 20
 	for _, fault := range []rowstest.Fault{rowstest.Rejected, rowstest.RequestLost, rowstest.ResponseLost, rowstest.Delayed} {
--- a/jobs/shard/takeover_test.go
+++ b/jobs/shard/takeover_test.go
@@ -85,8 +85,7 @@
 	})
 }
 
-// Guards against a second run of a task whose start was delayed, while the next incarnation
-// of its worker replies to nothing and is missing in the registry.
+// Guards against a second run while a delayed start may reach an incarnation that is not registered.
 func TestStartReachesUnregisteredIncarnation(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(2)
--- a/jobs/shard/trace_test.go
+++ b/jobs/shard/trace_test.go
@@ -112,8 +112,7 @@
 	}},
 }
 
-// Guards against a run that stops counting for a reason that the log does not tell, and
-// against a second start whose line does not name the first one.
+// Guards against a run that stops counting for a reason that the log does not tell.
 func TestRemovedRunIsRecordedWithReason(t *testing.T) {
 	for _, c := range removalCases {
 		t.Run(string(c.reason), func(t *testing.T) {
@@ -167,9 +166,7 @@
 	})
 }
 
-// Guards against ends that an acknowledgement made a worker forget before they were
-// listed, without a trace in the log, and against a false report by a new owner, whose
-// predecessor acknowledged the first ends.
+// Guards against ends that a worker forgot before they were listed, without a trace in the log.
 func TestMissingEndsAreRecorded(t *testing.T) {
 	withEvents(t, 1, func(r *eventRig) {
 		first := r.startReady()
@@ -185,8 +182,7 @@
 	})
 }
 
-// Guards against one fault that fills the log with the ends of unknown jobs, and against
-// ends left out of the log without a count.
+// Guards against one fault that fills the log with the ends of unknown jobs.
 func TestIgnoredEndsAreBounded(t *testing.T) {
 	withEvents(t, 1, func(r *eventRig) {
 		o := r.startReady()
@@ -200,9 +196,7 @@
 	})
 }
 
-// Guards against a restart of a worker whose line does not tell the incarnations apart,
-// or how far the ends of the former one were acknowledged, and against an acknowledgement
-// across the restart that cannot be told from other lost ends.
+// Guards against a restart whose line does not tell the incarnations and their acknowledged ends apart.
 func TestRestartNamesBothIncarnations(t *testing.T) {
 	withEvents(t, 1, func(r *eventRig) {
 		o := r.startReady()
@@ -219,8 +213,7 @@
 	})
 }
 
-// Guards against a takeover whose lines do not tell which transaction of the former owner
-// was the last one, what was loaded, or which worker was not heard.
+// Guards against a takeover whose lines do not tell what was stored last, loaded, and not heard.
 func TestTakeoverIsTraced(t *testing.T) {
 	withEvents(t, 2, func(r *eventRig) {
 		r.fleet.SetRunPlan(func(task job.TaskRef, _ int) workertest.RunPlan {
@@ -249,8 +242,7 @@
 	})
 }
 
-// Guards against a worker over its capacity that the log does not mention, or mentions
-// with every status.
+// Guards against a worker over its capacity that the log does not mention, or with every status.
 func TestWorkerOverCapacityIsRecordedOnce(t *testing.T) {
 	withEvents(t, 1, func(r *eventRig) {
 		o := r.startHour()
@@ -264,8 +256,7 @@
 	})
 }
 
-// Guards against stored ends of which the log never tells, because more workers than fit
-// into a line ended runs within a second.
+// Guards against stored ends that the log leaves out because more workers than fit into a line ended runs.
 func TestStoredEndsOfAllWorkersAreRecorded(t *testing.T) {
 	const workers = 2*maxWorkersPerLine + 1
 	withEvents(t, workers, func(r *eventRig) {
@@ -284,8 +275,7 @@
 	})
 }
 
-// Guards against events for diagnosis that grow with the load: without faults, only the
-// summary of stored ends is recorded, at most once a second.
+// Guards against events for diagnosis that grow with the load while there are no faults.
 func TestTraceVolumeWithoutFaults(t *testing.T) {
 	withEvents(t, 10, func(r *eventRig) {
 		r.fleet.SetRunPlan(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: 300 * time.Millisecond} })
--- a/jobs/shard/vacate_test.go
+++ b/jobs/shard/vacate_test.go
@@ -12,8 +12,7 @@
 	"peridotcrank.dev/jobs/worker"
 )
 
-// Guards against a second run of a task whose end was lost with its worker: the VM was
-// reassigned before the end was stored, and the owner failed.
+// Guards against a second run of a task whose end was lost with its worker before it was stored.
 func TestWorkerWithUnstoredEndsIsNotVacated(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
 		r.addWorkers(1)
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -37,9 +37,7 @@
 	}
 }
 
-// Guards against tasks that start again and workers over their capacity after workers have
-// restarted under their IDs: acknowledgements and runs that the owner applies to the wrong
-// incarnation, and entries of former incarnations in the registry.
+// Guards against second runs and workers over their capacity after workers have restarted under their IDs.
 func TestRestartedWorkers(t *testing.T) {
 	binary := buildProgram(t)
 	for _, seed := range []uint64{1, 5} {
