A handover clears the owner row with a record that is not empty

Cause: the record of a shard without an owner has no field set, so its encoding is empty, and the platform's store rejects a row without a value (status 400). The handover stopped the shard, but its owner row was never cleared.

Change: the record names no incarnation by a constant. The simulated store rejects empty values as the platform does; with that alone TestHandoverWithoutReply, TestLargeProcessIsLostDuringHandover, TestUntakenHandoversBackOff and TestSmallProcessHandsOverToLargeOnes fail. Two tests of other packages wrote rows without a value and now give one.

--- a/jobs/cluster/rebalance.go
+++ b/jobs/cluster/rebalance.go
@@ -86,6 +86,10 @@
 	return false
 }
 
+// noIncarnation is stored in the owner row of a shard without an owner. The platform's store
+// rejects a row without a value, and a record without any field has none.
+const noIncarnation = "none"
+
 // FinishHandover gives up a shard after the listener has stopped acting for it. The owner
 // row is cleared, so that other processes take the shard over at once. It has no effect
 // when the fence is not the current one.
@@ -93,7 +97,7 @@
 	if current, ok := m.heldFences[shard]; !ok || current != fence {
 		return
 	}
-	value, err := proto.Marshal(&jobpb.Owner{})
+	value, err := proto.Marshal(&jobpb.Owner{Incarnation: noIncarnation})
 	if err != nil {
 		m.Renounce(shard, fence)
 		return
--- a/jobs/maintenance/manager_test.go
+++ b/jobs/maintenance/manager_test.go
@@ -90,8 +90,10 @@
 	return Options{
 		Loop: l, Clock: func() time.Duration { return time.Since(testStart) + time.Second }, WallClock: time.Now,
 		MachineService: machines, PoolOwners: owners, Store: store, Recorder: eventlog.Discard, OwnsShard: func() bool { return true },
-		OwnerKey:     rows.Key{Table: "owner", Name: "fleet"},
-		StatusRow:    func(int64, bool) rows.Row { return rows.Row{Key: rows.Key{Table: "status", Name: "wave"}} },
+		OwnerKey: rows.Key{Table: "owner", Name: "fleet"},
+		StatusRow: func(int64, bool) rows.Row {
+			return rows.Row{Key: rows.Key{Table: "status", Name: "wave"}, Value: []byte("{}")}
+		},
 		MoveDuration: time.Second, MaintenanceDuration: maintenanceDuration,
 	}
 }
--- a/jobs/rows/rowsrelay/relay_test.go
+++ b/jobs/rows/rowsrelay/relay_test.go
@@ -72,7 +72,7 @@
 	key := rows.Key{Table: "t", Name: "n"}
 	applied := false
 	for range 50 {
-		result, err := s.Commit(context.Background(), rows.Tx{Expect: []rows.Expectation{{Key: key}}, Set: []rows.Row{{Key: key}}})
+		result, err := s.Commit(context.Background(), rows.Tx{Expect: []rows.Expectation{{Key: key}}, Set: []rows.Row{{Key: key, Value: []byte("x")}}})
 		if applied = err == nil && result.Applied; applied {
 			break
 		}
--- a/jobs/rows/rowstest/store.go
+++ b/jobs/rows/rowstest/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -70,8 +71,12 @@
 	s.droppedUpTo, s.history = s.version, nil
 }
 
-// Commit implements [rows.Store].
+// Commit implements [rows.Store]. Like the platform's store, it rejects a row without a
+// value.
 func (s *Store) Commit(ctx context.Context, tx rows.Tx) (rows.Result, error) {
+	if slices.ContainsFunc(tx.Set, func(row rows.Row) bool { return len(row.Value) == 0 }) {
+		return rows.Result{}, fmt.Errorf("a row has no value: %w", rows.ErrNotExecuted)
+	}
 	if err := sleep(ctx, s.Latency); err != nil {
 		return rows.Result{}, err
 	}
