--- a/review/cmd/reviewcase/lookup.go
+++ b/review/cmd/reviewcase/lookup.go
@@ -25,6 +25,11 @@
 	if !site.Submit(site.Processes[0], path, job(standin.Spec{}, 2, 1800, map[string]any{"long-running": true}), 3*time.Second) {
 		return nil, errNotPlayed
 	}
+	// A second job is cancelled at the moment of a wrong answer.
+	second := "/orders/00000000000000d2"
+	if !site.Submit(site.Processes[0], second, job(standin.Spec{}, 1, 1800, map[string]any{"long-running": true}), 3*time.Second) {
+		return nil, errNotPlayed
+	}
 	accepted := r.Now()
 	if !site.AwaitState(site.Processes[0], path, "running", 5*time.Second) {
 		return nil, errNotPlayed
@@ -32,7 +37,7 @@
 	time.Sleep(visible)
 	site.Configure(ordersIn("pool-b"), otherQueue)
 	time.Sleep(configApply + stableWindow)
-	l := &lookups{run: r, site: site, path: path, disturbedUntil: map[string]time.Duration{}, answers: map[string]int{}}
+	l := &lookups{run: r, site: site, path: path, second: second, disturbedUntil: map[string]time.Duration{}, answers: map[string]int{}}
 	stop := l.poll()
 	for _, p := range slices.Repeat(site.Processes, rolls) {
 		if !r.trouble {
@@ -52,6 +57,9 @@
 		time.Sleep(stableWindow + 500*time.Millisecond)
 	}
 	stop()
+	for _, run := range site.Fleet.RunsOf(second[len("/orders/"):]) {
+		r.Printf("beside the rule: %s run %d started at %.3f s, ended at %.3f s (0 for never); its DELETE: %v", run.Task, run.Number, run.Started.Seconds(), run.Ended.Seconds(), l.cancelled)
+	}
 	r.Printf("answers by process and status: %v, accepted at %.3f s", l.answers, accepted.Seconds())
 	return l.broken, nil
 }
@@ -70,6 +78,9 @@
 	*run
 	site *standin.Site
 	path string
+	// second is the path of a job that is cancelled once, and cancelled how that was answered.
+	second    string
+	cancelled string
 
 	mu             sync.Mutex
 	disturbedUntil map[string]time.Duration
@@ -118,19 +129,27 @@
 					l.Printf("client: GET %s at %s, sent at %.3f s: %d %s", l.path, p.Name, sent.Seconds(), a.Status, a.Body)
 				}
 				last = a
-				l.note(p.Name, sent, a)
+				if l.note(p.Name, sent, a) {
+					a := p.Call(http.MethodDelete, standin.Host, l.second, nil, false)
+					l.mu.Lock()
+					l.cancelled = fmt.Sprintf("%d from %s", a.Status, p.Name)
+					l.mu.Unlock()
+				}
 			}
 		})
 	}
 	return func() { close(done); group.Wait() }
 }
 
-func (l *lookups) note(name string, sent time.Duration, a standin.Answer) {
+// note counts an answer, and reports whether it is the first wrong one.
+func (l *lookups) note(name string, sent time.Duration, a standin.Answer) (firstWrong bool) {
 	touched := l.inTouch(name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.answers[fmt.Sprintf("%s %d", name, a.Status)]++
 	if a.Status == http.StatusGone && touched {
+		firstWrong = len(l.broken) == 0
 		l.broken = append(l.broken, fmt.Sprintf("LOST: GET %s, accepted and never cancelled, sent to %s at %.3f s, is answered 410 by a process in touch", l.path, name, sent.Seconds()))
 	}
+	return firstWrong
 }
