Review case 3: a late hold acknowledges ends of the worker's next life

A hold without an answer is carried out some seconds later, after its worker has crashed and started again under its id: it takes note of ends that nobody has seen, and their tasks are started again.

--- a/review/cmd/reviewcase/main.go
+++ b/review/cmd/reviewcase/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"peridotcrank.dev/review/internal/standin"
 )
@@ -37,6 +39,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		standin.KillAll()
+		r.Printf("not run to the end: signal")
+		os.Exit(2)
+	}()
 	code := 0
 	broken, err := play(&run{r, *binary, os.Getenv("TROUBLE") != "0"})
 	switch {
--- a/review/cmd/reviewcase/movedqueue.go
+++ b/review/cmd/reviewcase/movedqueue.go
@@ -99,11 +99,9 @@
 // repeatedRuns returns the starts that the rule TWICE forbids: beside another run of the task
 // on a worker that is up, or after a run that ended done, if that end was taken note of.
 func repeatedRuns(runs []standin.Run) (broken []string) {
-	for i, later := range runs {
-		for _, former := range runs[:i] {
-			if later.Task != former.Task {
-				continue
-			}
+	formerRuns := map[string][]standin.Run{}
+	for _, later := range runs {
+		for _, former := range formerRuns[later.Task] {
 			where := fmt.Sprintf("TWICE: %s run %d starts at %.3f s on %s", later.Task, later.Number, later.Started.Seconds(), later.Worker)
 			switch {
 			case former.Ended == 0 || former.Ended > later.Started:
@@ -112,6 +110,7 @@
 				broken = append(broken, fmt.Sprintf("%s after run %d on %s ended done at %.3f s and was taken note of at %.3f s", where, former.Number, former.Worker, former.Ended.Seconds(), former.NotedAt.Seconds()))
 			}
 		}
+		formerRuns[later.Task] = append(formerRuns[later.Task], later)
 	}
 	return broken
 }
--- a/review/internal/standin/process.go
+++ b/review/internal/standin/process.go
@@ -61,6 +61,21 @@
 	return p, os.WriteFile(p.file, []byte(text), 0o600)
 }
 
+// started are all processes, for KillAll.
+var (
+	startedMutex sync.Mutex
+	started      []*Process
+)
+
+// KillAll ends all processes at once.
+func KillAll() {
+	startedMutex.Lock()
+	defer startedMutex.Unlock()
+	for _, p := range started {
+		p.Signal(syscall.SIGKILL)
+	}
+}
+
 // Start starts the process with the command of the deploy file.
 func (p *Process) Start() error {
 	log, err := os.OpenFile(p.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -77,6 +92,9 @@
 		return err
 	}
 	p.record.Printf("process %s starts", p.Name)
+	startedMutex.Lock()
+	started = append(started, p)
+	startedMutex.Unlock()
 	command, exited := p.command, make(chan struct{})
 	p.exited = exited
 	go func() {
--- a/review/internal/standin/worker.go
+++ b/review/internal/standin/worker.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -20,6 +22,7 @@
 // Spec is the spec of a job: what its tasks do.
 type Spec struct {
 	MS    int  `json:"ms"`              // Duration of a run; 0 for a task that lasts.
+	Vary  bool `json:"vary,omitempty"`  // Runs take 0.6 to 1.4 times as long.
 	Fails bool `json:"fails,omitempty"` // All its runs end failed.
 }
 
@@ -62,6 +65,9 @@
 	lastEnd, acked                uint64
 	changed                       chan struct{}
 	gone                          bool
+	down                          bool // Between a crash and the next start.
+	life                          int  // Counts the starts under the same id.
+	handler                       http.Handler
 	beat                          uint64
 }
 
@@ -73,6 +79,9 @@
 	nextID int
 	Runs   []*Run // All runs so far.
 	all    []*Worker
+	// LateHold returns how late a call of /hold is carried out, without an answer; 0 for a call
+	// that isn't late. Nil for none.
+	LateHold func(w *Worker, acked uint64) time.Duration
 }
 
 // NewFleet returns a fleet without workers.
@@ -93,6 +102,7 @@
 	mux.HandleFunc("POST /run-stop", w.order(w.stop))
 	mux.HandleFunc("POST /hold", w.order(w.hold))
 	mux.HandleFunc("POST /pace", w.order(func(order, *http.Request) (int, map[string]any) { return http.StatusOK, map[string]any{} }))
+	w.handler = mux
 	w.server, w.Addr = Serve(mux)
 	go w.beatUntilGone()
 	return w
@@ -123,7 +133,7 @@
 func (w *Worker) beatUntilGone() {
 	for {
 		w.fleet.mu.Lock()
-		gone := w.gone
+		gone, down := w.gone, w.down
 		w.beat++
 		entry := map[string]any{
 			"service": w.Pool, "address": w.Addr, "zone": "wa-south-a", "version": "v1", "slots": 8, "state": "ready", "cold-left-ms": 0, "seq": w.beat,
@@ -134,11 +144,43 @@
 			w.fleet.store.Remove("servers", w.ID)
 			return
 		}
-		w.fleet.store.Put("servers", w.ID, entry)
+		if !down {
+			w.fleet.store.Put("servers", w.ID, entry)
+		}
 		time.Sleep(heartbeat)
 	}
 }
 
+// Restart ends the worker's process with everything that runs on it, and starts it again under
+// its id after a time. It then knows nothing of before.
+func (w *Worker) Restart(after time.Duration) error {
+	w.fleet.mu.Lock()
+	w.fleet.record.Printf("worker %s crashes and starts again after %v; it has listed %d ends", w.ID, after, w.lastEnd)
+	w.down = true
+	for _, r := range append([]*Run(nil), w.running...) {
+		w.finish(r, "lost with its worker")
+	}
+	w.life++
+	w.ended, w.barred, w.lastEnd, w.fence, w.due = nil, map[string]int{}, 0, 0, 0
+	if w.lease != nil {
+		w.lease.Stop()
+	}
+	w.fleet.mu.Unlock()
+	w.server.Close()
+	time.Sleep(after)
+	listener, err := net.Listen("tcp", w.Addr)
+	if err != nil {
+		return err
+	}
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.down, w.born, w.started = false, time.Now().UnixMilli(), time.Now()
+	w.server = &http.Server{Handler: w.handler}
+	go w.server.Serve(listener) // Returns after Close.
+	w.fleet.record.Printf("worker %s starts again", w.ID)
+	return nil
+}
+
 // End ends the worker with everything that runs on it.
 func (w *Worker) End() {
 	w.fleet.mu.Lock()
@@ -179,17 +221,51 @@
 			return
 		}
 		w.fleet.mu.Lock()
+		if late := w.lateness(r, o); late > 0 {
+			w.fleet.mu.Unlock()
+			time.AfterFunc(late, func() { w.carryOutHold(o) })
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler) // Closes the connection without an answer.
+		}
+		life := w.life
 		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
 		if o.Fence >= w.fence {
 			w.fence = o.Fence
 			status, body = execute(o, r)
 		}
 		body["clock-ms"], body["born"] = w.clock().Milliseconds(), w.born
+		lost := life != w.life // The process has ended while it held the call.
 		w.fleet.mu.Unlock()
+		if lost {
+			panic(http.ErrAbortHandler)
+		}
 		writeJSON(rw, status, body)
 	}
 }
 
+// lateness returns how late an order is carried out. The caller holds the lock.
+func (w *Worker) lateness(r *http.Request, o order) time.Duration {
+	if w.fleet.LateHold == nil || r.URL.Path != "/hold" {
+		return 0
+	}
+	return w.fleet.LateHold(w, o.Acked)
+}
+
+// carryOutHold carries out a hold whose caller has got no answer.
+func (w *Worker) carryOutHold(o order) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if w.gone || w.down || o.Fence < w.fence {
+		w.fleet.record.Printf("worker %s: a late hold isn't carried out, its fence is lower or the worker is down", w.ID)
+		return
+	}
+	w.fence = o.Fence
+	unacked := len(w.ended)
+	o.Wait = 0
+	w.hold(o, nil)
+	w.fleet.record.Printf("worker %s: a late hold with acked-upto %d is carried out; the last end is %d, %d ends are taken note of by it", w.ID, o.Acked, w.lastEnd, unacked-len(w.ended))
+}
+
 // extendLease sets the lease. A longer one is shortened, and it never becomes shorter.
 func (w *Worker) extendLease(dueMS int64) {
 	due := min(time.Duration(dueMS)*time.Millisecond, w.clock()+maxHold)
@@ -200,10 +276,11 @@
 	if w.lease != nil {
 		w.lease.Stop()
 	}
+	life := w.life
 	w.lease = time.AfterFunc(due-w.clock(), func() {
 		w.fleet.mu.Lock()
 		defer w.fleet.mu.Unlock()
-		if w.clock() < w.due {
+		if life != w.life || w.clock() < w.due {
 			return
 		}
 		for _, r := range append([]*Run(nil), w.running...) {
@@ -237,7 +314,11 @@
 		if r.spec.Fails {
 			how = "failed"
 		}
-		r.timer = time.AfterFunc(time.Duration(r.spec.MS)*time.Millisecond, func() { w.finishLater(r, how) })
+		duration := time.Duration(r.spec.MS) * time.Millisecond
+		if r.spec.Vary {
+			duration = time.Duration(float64(duration) * (0.6 + 0.8*rand.Float64()))
+		}
+		r.timer = time.AfterFunc(duration, func() { w.finishLater(r, how) })
 	}
 	return http.StatusOK, map[string]any{}
 }
@@ -308,3 +389,10 @@
 	}
 	return http.StatusOK, map[string]any{"running": running, "ended": ended}
 }
+
+// All returns all workers so far.
+func (f *Fleet) All() []*Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*Worker(nil), f.all...)
+}
