A removed queue keeps its limit of attempts, advice and priority after a takeover

What callers saw: a job that always fails is neither `failed` nor ever ends.

Cause: the owner of a shard kept the last configuration of a removed queue in memory only. The next owner knew the queues of the newest configuration, so the jobs of the removed one had no limit of attempts, no advice and no priority. Beside it: an owner that never received the configuration of a queue stored jobs of it, which then had no limits either.

Fix: a shard keeps a row for each queue of which it has jobs, with the configuration, written in the transaction that stores the first job. The next owner reads it; the configuration in force goes first. The row goes when the last job goes.

Ruled out: lost failure counts (the progress rows had them; the record shows that all ends were applied).

The simulated store is stricter: at most 100 rows in a transaction, several parts only if the transaction allows them. The stand-in passes that field on.

--- a/jobs/rows/rowstest/store.go
+++ b/jobs/rows/rowstest/store.go
@@ -53,6 +53,9 @@
 
 const maxPartWait = time.Second
 
+// maxTxRows is the maximum number of rows of a transaction, including the expected ones.
+const maxTxRows = 100
+
 const defaultDelay = 3 * time.Second
 
 var _ rows.Store = (*Store)(nil)
@@ -72,11 +75,18 @@
 }
 
 // Commit implements [rows.Store]. Like the platform's store, it rejects a row without a
-// value.
+// value, more rows than a transaction may have, and rows of several parts unless the
+// transaction allows them.
 func (s *Store) Commit(ctx context.Context, tx rows.Tx) (rows.Result, error) {
 	if slices.ContainsFunc(tx.Set, func(row rows.Row) bool { return len(row.Value) == 0 }) {
 		return rows.Result{}, fmt.Errorf("a row has no value: %w", rows.ErrNotExecuted)
 	}
+	if n := len(tx.Expect) + len(tx.Set) + len(tx.Delete); n > maxTxRows {
+		return rows.Result{}, fmt.Errorf("%d rows in a transaction, more than %d: %w", n, maxTxRows, rows.ErrNotExecuted)
+	}
+	if !tx.CrossPart && partCount(tx) > 1 {
+		return rows.Result{}, fmt.Errorf("the rows are in several parts: %w", rows.ErrNotExecuted)
+	}
 	if err := sleep(ctx, s.Latency); err != nil {
 		return rows.Result{}, err
 	}
@@ -102,6 +112,21 @@
 	return s.apply(tx), nil
 }
 
+// partCount returns the number of parts that have rows of a transaction.
+func partCount(tx rows.Tx) int {
+	parts := map[string]bool{}
+	for _, e := range tx.Expect {
+		parts[e.Part] = true
+	}
+	for _, row := range tx.Set {
+		parts[row.Part] = true
+	}
+	for _, key := range tx.Delete {
+		parts[key.Part] = true
+	}
+	return len(parts)
+}
+
 // waitForPart waits until the earlier transactions of the same part and this one have
 // been executed.
 func (s *Store) waitForPart(ctx context.Context, tx rows.Tx) error {
--- a/jobs/shard/calls.go
+++ b/jobs/shard/calls.go
@@ -27,6 +27,9 @@
 	Limited
 	// Invalid means that the job can never run; the call was not carried out.
 	Invalid
+	// NotConfigured means that this owner has not received the configuration of the queue
+	// yet. The call was not carried out.
+	NotConfigured
 )
 
 // Result is the outcome of a call.
@@ -70,6 +73,10 @@
 		reply(refusedResult())
 		return
 	}
+	if _, ok := s.queues[j.Queue]; !ok {
+		reply(Result{Code: NotConfigured})
+		return
+	}
 	if err := s.capError(j); err != nil {
 		reply(Result{Code: Invalid, Detail: err.Error()})
 		return
@@ -279,8 +286,8 @@
 
 const sweepInterval = 5 * time.Second
 
-// removeExpiredRecords removes unanswered starts that can no longer be carried out, and
-// jobs that ended longer ago than KeepEnded.
+// removeExpiredRecords removes unanswered starts that can no longer be carried out, jobs
+// that ended longer ago than KeepEnded, and the queues of which no jobs are left.
 func (s *Shard) removeExpiredRecords(now time.Duration) {
 	if now-s.lastSweep < sweepInterval {
 		return
@@ -296,4 +303,5 @@
 			s.journal.deletions = append(s.journal.deletions, s.rowKey(tableProgress, string(id)))
 		}
 	}
+	s.removeUnusedQueues()
 }
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -21,7 +21,10 @@
 	tableJob      = "job"
 	tableProgress = "progress"
 	tableWorker   = "worker"
-	headName      = "head"
+	// QueueTable is the table of the queues of which the shards have jobs. Its rows are in
+	// one part, so that every process can read them all.
+	QueueTable = "queue"
+	headName   = "head"
 )
 
 // journal is the chain of transactions of a shard, and the changes that wait for the
@@ -37,6 +40,7 @@
 	inserts     []*jobState
 	changedJobs map[*jobState]struct{}
 	workerRows  []*workerState
+	queueRows   map[job.Queue]struct{} // Queues whose rows are to be written again.
 	deletions   []rows.Key
 }
 
@@ -52,10 +56,12 @@
 	size        int
 }
 
-func (j *journal) init() { j.changedJobs = map[*jobState]struct{}{} }
+func (j *journal) init() {
+	j.changedJobs, j.queueRows = map[*jobState]struct{}{}, map[job.Queue]struct{}{}
+}
 
 func (j *journal) empty() bool {
-	return len(j.inserts) == 0 && len(j.changedJobs) == 0 && len(j.workerRows) == 0 && len(j.deletions) == 0
+	return len(j.inserts) == 0 && len(j.changedJobs) == 0 && len(j.workerRows) == 0 && len(j.queueRows) == 0 && len(j.deletions) == 0
 }
 
 func (j *journal) idle() bool { return j.batch == nil && j.empty() }
@@ -142,12 +148,15 @@
 	if err := s.addWorkerRows(b); err != nil {
 		return nil, err
 	}
+	if err := s.addQueueRows(b); err != nil {
+		return nil, err
+	}
 	s.addDeletions(b)
 	return b, s.addDurationsRow(b)
 }
 
-// addDeletions adds the rows to delete. The row of a worker that is in use again is
-// kept.
+// addDeletions adds the rows to delete. The row of a worker or a queue that is in use
+// again is kept.
 func (s *Shard) addDeletions(b *batch) {
 	j := &s.journal
 	for len(j.deletions) > 0 && !b.full() {
@@ -156,6 +165,12 @@
 		if w := s.workers[worker.ID(key.Name)]; key.Table == tableWorker && w != nil && (w.rowCommitted || w.rowQueued) {
 			continue
 		}
+		if key.Table == QueueTable {
+			if s.hasQueueRow(key) {
+				continue
+			}
+			b.tx.CrossPart = true
+		}
 		b.tx.Delete = append(b.tx.Delete, key)
 	}
 }
@@ -185,6 +200,9 @@
 		if err := b.setRow(s.rowKey(tableJob, string(js.job.ID)), job.ToRecord(js.job)); err != nil {
 			return err
 		}
+		if err := s.addRowOfQueue(b, js.job.Queue); err != nil {
+			return err
+		}
 		b.inserts = append(b.inserts, js)
 	}
 	return nil
--- a/jobs/shard/load.go
+++ b/jobs/shard/load.go
@@ -28,6 +28,7 @@
 	// unreadable are the jobs with a row that cannot be decoded.
 	unreadable map[job.ID]struct{}
 	durations  *jobpb.Durations // nil if there are none.
+	queues     []*jobpb.Queue
 }
 
 func (s *Shard) loadRows(ctx context.Context) (*snapshot, error) {
@@ -71,14 +72,22 @@
 	if err != nil {
 		return nil, err
 	}
+	if loaded.queues, err = s.loadQueues(ctx); err != nil {
+		return nil, err
+	}
 	loaded.durations, err = s.loadDurations(ctx)
 	return loaded, err
 }
 
-// readTable reads a table and passes each row to read. A row for which read returns an
-// error is logged and stays in the store; the remaining rows are still read.
+// readTable reads the shard's part of a table and passes each row to read.
 func (s *Shard) readTable(ctx context.Context, table string, read func(rows.Row) error) error {
-	page, err := rows.ReadAll(ctx, s.opts.Store, table, s.opts.Pool)
+	return s.readPart(ctx, table, s.opts.Pool, read)
+}
+
+// readPart reads a part of a table and passes each row to read. A row for which read
+// returns an error is logged and stays in the store; the remaining rows are still read.
+func (s *Shard) readPart(ctx context.Context, table, part string, read func(rows.Row) error) error {
+	page, err := rows.ReadAll(ctx, s.opts.Store, table, part)
 	if err != nil {
 		return fmt.Errorf("read table %s: %w", table, err)
 	}
@@ -94,6 +103,7 @@
 func (s *Shard) restoreState(loaded *snapshot) {
 	s.unreadable = loaded.unreadable
 	s.restoreDurations(loaded.durations)
+	s.restoreQueues(loaded.queues)
 	for _, j := range loaded.jobs {
 		if _, ok := s.unreadable[j.ID]; ok {
 			continue // Its tasks may have ended.
@@ -118,6 +128,7 @@
 		s.addWorker(info).rowCommitted = true
 		s.unaccountedWorkers++
 	}
+	s.keepUsedQueues()
 	for _, js := range s.jobs {
 		s.releaseSteps(js)
 		s.endJobIfComplete(js)
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -87,6 +87,8 @@
 	Objective time.Duration
 	// Advice is set for queues whose starts require a ticket from the adviser.
 	Advice worker.AdvicePolicy
+	// Address is where callers find the queue.
+	Address job.QueueAddress
 }
 
 // Queues maps each queue to its configuration.
--- a/jobs/shard/rig_test.go
+++ b/jobs/shard/rig_test.go
@@ -57,6 +57,8 @@
 	attemptRecords bool // Of owners started from then on.
 	owners         []*owner
 	adviser        worker.Adviser
+	// queues are the configured queues of new owners.
+	queues Queues
 	// workspaces are the workspaces of new owners; nil for none.
 	workspaces *workspaces.Table
 	// recorder records the events of owners started from then on.
@@ -96,6 +98,7 @@
 		r := &rig{
 			t: t, ctx: ctx, learned: *learnedDurations, loop: loop.New(), store: &rowstest.Store{Latency: 4 * time.Millisecond},
 			startedAt: time.Now(), recorder: eventlog.Discard,
+			queues: Queues{testQueue: {Attempts: 2, Stretch: 1.5, Objective: time.Second}},
 		}
 		r.fleet = workertest.New(func(job.TaskRef, int) workertest.RunPlan { return workertest.RunPlan{Duration: time.Second} })
 		r.fleet.CheckCapacity(r.reservedBy)
@@ -162,7 +165,7 @@
 	o.Shard = s
 	r.owners = append(r.owners, o)
 	o.callOnLoop(func() {
-		s.SetQueues(Queues{testQueue: {Attempts: 2, Stretch: 1.5, Objective: time.Second}})
+		s.SetQueues(r.queues)
 		s.SetWorkspaces(r.workspaces)
 		s.SetWorkers(slices.DeleteFunc(slices.Clone(r.workerInfos), func(w worker.Info) bool { return w.Pool != pool }))
 		configure(s)
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -16,6 +16,8 @@
 	opts    Options
 	journal journal
 	queues  Queues
+	// storedQueues are the queues with a row, as the row describes them.
+	storedQueues map[job.Queue]storedQueue
 	// workspaces is nil on a site without workspaces.
 	workspaces *workspaces.Table
 	fair       fairShares
@@ -76,7 +78,7 @@
 		opts.WallClock = time.Now
 	}
 	s := &Shard{
-		opts: opts, queues: Queues{}, jobs: map[job.ID]*jobState{}, ended: map[job.ID]endedJob{},
+		opts: opts, queues: Queues{}, storedQueues: map[job.Queue]storedQueue{}, jobs: map[job.ID]*jobState{}, ended: map[job.ID]endedJob{},
 		workers: map[worker.ID]*workerState{}, unansweredStarts: map[worker.ID]map[runKey]unansweredStart{}, startableSteps: map[*stepState]struct{}{}, delayedSteps: map[*stepState]struct{}{},
 		predictors: map[job.Queue]*scheduler.DurationPredictor{},
 	}
@@ -123,6 +125,10 @@
 	for name, q := range queues {
 		s.queues[name] = q
 	}
+	if s.active {
+		s.keepUsedQueues()
+		s.flush()
+	}
 	s.schedulePlacement()
 }
 
--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -120,7 +120,7 @@
 		}
 	}
 	s.recordEvent(eventlog.ShardLoaded, eventlog.Fields{
-		"fence": s.opts.Fence, "generation": generation, "jobs": len(s.jobs), "workers": s.unaccountedWorkers,
+		"fence": s.opts.Fence, "generation": generation, "jobs": len(s.jobs), "queues": len(s.storedQueues), "workers": s.unaccountedWorkers,
 		"done_tasks": done, "failed_runs": failures, "ended_jobs": len(s.ended),
 	})
 }
--- a/peridotcrank/jobproc/calls.go
+++ b/peridotcrank/jobproc/calls.go
@@ -16,6 +16,8 @@
 	shard.Refused: jobpb.Code_CODE_REFUSED, shard.Unknown: jobpb.Code_CODE_UNKNOWN,
 	shard.Conflict: jobpb.Code_CODE_CONFLICT, shard.Limited: jobpb.Code_CODE_LIMITED,
 	shard.Invalid: jobpb.Code_CODE_INVALID,
+	// The caller's process tries again until the owner has the configuration.
+	shard.NotConfigured: jobpb.Code_CODE_NOT_OWNER,
 }
 
 func newReply(a shard.Result) *jobpb.Reply {
--- a/peridotcrank/jobproc/config.go
+++ b/peridotcrank/jobproc/config.go
@@ -6,6 +6,7 @@
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/ingress"
+	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/rows"
 	"peridotcrank.dev/jobs/shard"
 	"peridotcrank.dev/platform"
@@ -96,7 +97,10 @@
 	p.queues = shard.Queues{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		p.queues[r.Queue] = shard.Queue{Attempts: r.Attempts, Priority: r.Priority, Stretch: r.Stretch, Objective: r.Objective, Advice: r.Advice}
+		p.queues[r.Queue] = shard.Queue{
+			Attempts: r.Attempts, Priority: r.Priority, Stretch: r.Stretch, Objective: r.Objective, Advice: r.Advice,
+			Address: job.QueueAddress{Host: r.Host, Prefix: r.Prefix},
+		}
 		r.FormerPools = p.formerPools(string(r.Queue), r.Pool)
 	}
 	p.gate.Apply(ingress.Config{
--- a/testbed/standin/store.go
+++ b/testbed/standin/store.go
@@ -42,12 +42,13 @@
 		Expect []wireRow `json:"expect"`
 		Set    []wireRow `json:"set-keys"`
 		Delete []wireRow `json:"delete-keys"`
+		Across bool      `json:"across"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	var tx rows.Tx
+	tx := rows.Tx{CrossPart: body.Across}
 	for _, e := range body.Expect {
 		if e.Version == nil {
 			http.Error(w, "an expected row has no version", http.StatusBadRequest)
