A process that starts after a queue was moved finds its earlier jobs

GET of the count of waiting jobs left out the jobs of the former pool at such a process.

Cause, the same as for the limit of attempts: which pools a queue has had was known to each process only from the configurations that it had seen itself.

Fix: the rows of queues that the pools keep also tell where the jobs of a route may be. What a process has seen itself counts for another 30 s, for jobs whose row it has not read yet.

Ruled out: that the new process forwards by an old configuration (its log has the new version before the requests), and that the owner of the new pool lost the job (it never had it).

--- a/jobs/ingress/forwarder.go
+++ b/jobs/ingress/forwarder.go
@@ -8,6 +8,7 @@
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/cluster"
+	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/jobpb"
 	"peridotcrank.dev/jobs/relay"
 )
@@ -56,17 +57,17 @@
 
 // CallAny forwards a call about a job to the owner of its queue's shard. A job stays
 // in the shard that accepted it when its queue is moved to another pool, so a job that is
-// unknown there is searched in the other shards. formerShards are the shards that may
-// still have jobs of the queue.
-func (f *Forwarder) CallAny(ctx context.Context, request *jobpb.Request, formerShards []string) *jobpb.Reply {
+// unknown there is searched in the other shards. former lists the other
+// places that may have jobs of the route.
+func (f *Forwarder) CallAny(ctx context.Context, request *jobpb.Request, former []Place) *jobpb.Reply {
 	switch request.Call {
 	case jobpb.Call_CALL_SUBMIT:
-		if reply := f.findInFormerShards(ctx, request, formerShards); reply != nil {
+		if reply := f.findInFormerPlaces(ctx, request, former); reply != nil {
 			return reply
 		}
 		return f.Call(ctx, request)
 	case jobpb.Call_CALL_WAITING:
-		return f.sumWaiting(ctx, request, formerShards)
+		return f.sumWaiting(ctx, request, former)
 	}
 	reply := f.Call(ctx, request)
 	if !isInvisible(reply) {
@@ -76,7 +77,7 @@
 		if shard == request.Shard || !f.o.IsPool(shard) {
 			continue
 		}
-		if other := f.Call(ctx, withShard(request, shard)); !isInvisible(other) {
+		if other := f.Call(ctx, withPlace(request, Place{job.Queue(request.Queue), shard})); !isInvisible(other) {
 			return other
 		}
 	}
@@ -89,17 +90,18 @@
 	return reply.Code == jobpb.Code_CODE_NOT_FOUND || reply.Code == jobpb.Code_CODE_CONFLICT
 }
 
-func withShard(request *jobpb.Request, shard string) *jobpb.Request {
+// withPlace returns a copy of a request for another place.
+func withPlace(request *jobpb.Request, place Place) *jobpb.Request {
 	return &jobpb.Request{
-		Call: request.Call, Shard: shard, Queue: request.Queue, Id: request.Id, Job: request.Job, Workers: request.Workers, Workspace: request.Workspace,
+		Call: request.Call, Shard: place.Pool, Queue: string(place.Queue), Id: request.Id, Job: request.Job, Workers: request.Workers, Workspace: request.Workspace,
 	}
 }
 
-// findInFormerShards returns the reply to a submission whose job a former pool of the
-// queue has or may have, and nil when no former pool has it.
-func (f *Forwarder) findInFormerShards(ctx context.Context, request *jobpb.Request, formerShards []string) *jobpb.Reply {
-	for _, shard := range formerShards {
-		query := withShard(request, shard)
+// findInFormerPlaces returns the reply to a submission whose job a former place
+// has or may have, and nil when none has it.
+func (f *Forwarder) findInFormerPlaces(ctx context.Context, request *jobpb.Request, former []Place) *jobpb.Reply {
+	for _, place := range former {
+		query := withPlace(request, place)
 		query.Call, query.Job = jobpb.Call_CALL_STATE, nil
 		switch code := f.Call(ctx, query).Code; code {
 		case jobpb.Code_CODE_NOT_FOUND:
@@ -114,13 +116,13 @@
 	return nil
 }
 
-func (f *Forwarder) sumWaiting(ctx context.Context, request *jobpb.Request, formerShards []string) *jobpb.Reply {
+func (f *Forwarder) sumWaiting(ctx context.Context, request *jobpb.Request, former []Place) *jobpb.Reply {
 	sum := f.Call(ctx, request)
-	for _, shard := range formerShards {
+	for _, place := range former {
 		if sum.Code != jobpb.Code_CODE_OK {
 			break
 		}
-		other := f.Call(ctx, withShard(request, shard))
+		other := f.Call(ctx, withPlace(request, place))
 		if other.Code != jobpb.Code_CODE_OK {
 			return other
 		}
--- a/jobs/ingress/ingress_test.go
+++ b/jobs/ingress/ingress_test.go
@@ -118,8 +118,12 @@
 		IsPool: func(shard string) bool { return shard != "fleet" },
 	})
 	f.SetDirectory(cluster.Directory{"new": {Self: true}, "old": {Self: true}, "fleet": {Self: true}})
-	call := func(kind jobpb.Call, id string, former ...string) *jobpb.Reply {
+	call := func(kind jobpb.Call, id string, formerPools ...string) *jobpb.Reply {
 		asked = nil
+		var former []Place
+		for _, pool := range formerPools {
+			former = append(former, Place{Pool: pool})
+		}
 		return f.CallAny(context.Background(), &jobpb.Request{Call: kind, Shard: "new", Id: id}, former)
 	}
 	assert.Equal(t, call(jobpb.Call_CALL_STATE, "known").State, jobpb.State_STATE_RUNNING)
--- a/jobs/ingress/routes.go
+++ b/jobs/ingress/routes.go
@@ -25,8 +25,8 @@
 	Advice    worker.AdvicePolicy
 	// Public routes take calls without a key.
 	Public bool
-	// FormerPools are earlier pools of the queue that may still have its jobs.
-	FormerPools []string
+	// FormerPlaces are the other places that may have jobs of the route.
+	FormerPlaces []Place
 }
 
 // RouteTable finds the route of a request. It is immutable.
--- a/jobs/rows/parts.go
+++ b/jobs/rows/parts.go
@@ -1,6 +1,7 @@
 package rows
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -19,6 +20,9 @@
 	// BatchDelay is the time from a change to the next poll, so that changes which happen
 	// close together are read by one call. 0 means no delay.
 	BatchDelay time.Duration
+	// FeedWait is how long the store may delay the reply to a feed call without changes.
+	// Default 2 s.
+	FeedWait time.Duration
 	// OnRead is called after each read with its error, or nil if it succeeded.
 	OnRead func(error)
 }
@@ -84,9 +88,10 @@
 
 // readChanges reads the changes since the last read.
 func (w *PartsWatcher) readChanges(ctx context.Context, position *partsPosition) (changed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, defaultFeedWait+feedReplyMargin)
+	wait := cmp.Or(w.FeedWait, defaultFeedWait)
+	ctx, cancel := context.WithTimeout(ctx, wait+feedReplyMargin)
 	defer cancel()
-	page, err := w.Store.Feed(ctx, w.Table, position.version, defaultFeedWait)
+	page, err := w.Store.Feed(ctx, w.Table, position.version, wait)
 	if err != nil {
 		return false, err
 	}
--- a/peridotcrank/jobproc/config.go
+++ b/peridotcrank/jobproc/config.go
@@ -1,11 +1,9 @@
 package jobproc
 
 import (
-	"slices"
 	"time"
 
 	"peridotcrank.dev/eventlog"
-	"peridotcrank.dev/jobs/ingress"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/rows"
 	"peridotcrank.dev/jobs/shard"
@@ -23,6 +21,9 @@
 	// version is that of the configuration in the last read, or 0 if the read had none
 	// that can be decoded.
 	version uint64
+	// historyVersion is that of the configuration with which the rows of the queues were
+	// read last.
+	historyVersion uint64
 }
 
 // operatorTableWatcher returns the watcher of the operators' table.
@@ -60,6 +61,10 @@
 	for _, waveErr := range waveErrors {
 		p.log.Record(eventlog.RegistryEntryUnreadable, eventlog.Fields{"error": waveErr})
 	}
+	if found && c.Version > t.historyVersion {
+		p.readQueueHistory(p.runContext)
+		t.historyVersion = c.Version
+	}
 	p.loop.Scope(func(reason any, _ []byte) { p.recordCallPanic(reason) }).Post(func() {
 		if found {
 			p.applyConfig(c)
@@ -101,11 +106,10 @@
 			Attempts: r.Attempts, Priority: r.Priority, Stretch: r.Stretch, Objective: r.Objective, Advice: r.Advice,
 			Address: job.QueueAddress{Host: r.Host, Prefix: r.Prefix},
 		}
-		r.FormerPools = p.formerPools(string(r.Queue), r.Pool)
 	}
-	p.gate.Apply(ingress.Config{
-		Version: c.Version, Routes: ingress.NewRouteTable(c.Routes), Workspaces: c.Workspaces, MaxBodyBytes: c.MaxBodyBytes,
-	})
+	p.routes, p.maxBodyBytes = c.Routes, c.MaxBodyBytes
+	p.history.SetRoutes(c.Routes, p.clock.Now())
+	p.applyRoutes()
 	p.poolNames, p.sparePool = nil, ""
 	for _, pool := range c.Pools {
 		p.poolNames = append(p.poolNames, pool.Name)
@@ -125,23 +129,7 @@
 	}
 	p.updateCapFeed()
 	p.ready.Store(true)
-	p.log.Record(eventlog.JobsConfigReceived, eventlog.Fields{"version": c.Version, "routes": len(c.Routes), "pools": len(p.poolNames)})
-}
-
-// formerPools records the pool of a queue and returns the other pools that the queue
-// has had.
-func (p *Process) formerPools(queue, pool string) (former []string) {
-	known := p.poolHistories[queue]
-	if !slices.Contains(known, pool) {
-		known = append(known, pool)
-		p.poolHistories[queue] = known
-	}
-	for _, other := range known {
-		if other != pool {
-			former = append(former, other)
-		}
-	}
-	return former
+	p.log.Record(eventlog.JobsConfigReceived, eventlog.Fields{"version": c.Version, "routes": len(c.Routes), "pools": len(p.poolNames), "stored_queues": p.history.Places()})
 }
 
 // recordStoreRoute logs whether calls to the store go directly or through a peer.
--- a/peridotcrank/jobproc/observe.go
+++ b/peridotcrank/jobproc/observe.go
@@ -102,7 +102,7 @@
 }
 
 // CallAny implements [platform.Forwarder].
-func (c instrumentedForwarder) CallAny(ctx context.Context, request *jobpb.Request, former []string) *jobpb.Reply {
+func (c instrumentedForwarder) CallAny(ctx context.Context, request *jobpb.Request, former []ingress.Place) *jobpb.Reply {
 	began := time.Now()
 	reply := c.forwarder.CallAny(ctx, request, former)
 	call := strings.ToLower(strings.TrimPrefix(request.Call.String(), "CALL_"))
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -65,7 +65,9 @@
 	capRows       map[string]rows.Row      // Latest rows of the table of caps, by workspace.
 	workersByPool map[string][]worker.Info // Nil until the registry has been read.
 	renewalOK     bool
-	poolHistories map[string][]string // All pools that each queue has had.
+	routes        []ingress.Route // Of the configuration in force.
+	maxBodyBytes  int64
+	history       *ingress.QueueHistory
 
 	// lastReported holds the settings of the last logged reload. It belongs to the
 	// goroutine of watchSettings.
@@ -97,7 +99,7 @@
 		clock: clock, log: log, output: output, metrics: collector, loop: loop.New(),
 		directStore: instrumentedStore{platform.NewStore(s.Platform.Store.String()), collector},
 		workers:     instrumentedWorkers{platform.NewWorkers(), collector}, client: relay.NewClient(),
-		shards: map[string]*shard.Shard{}, scopes: map[string]*loop.Scope{}, queues: shard.Queues{}, renewalOK: true, poolHistories: map[string][]string{},
+		shards: map[string]*shard.Shard{}, scopes: map[string]*loop.Scope{}, queues: shard.Queues{}, renewalOK: true, history: ingress.NewQueueHistory(),
 	}
 	if err := collector.ObserveWorkspaces(p.usage.read); err != nil {
 		return nil, err
@@ -191,6 +193,8 @@
 	p.loop.Post(p.publishUsage)
 	watcher := p.operatorTableWatcher()
 	go watcher.Run(runContext)
+	queueRows := p.queueRowsWatcher()
+	go queueRows.Run(runContext)
 	go p.watchValidity(runContext)
 	select {
 	case <-ctx.Done():
--- a/peridotcrank/jobproc/validity_test.go
+++ b/peridotcrank/jobproc/validity_test.go
@@ -121,7 +121,7 @@
 		p, began := r.process, time.Now()
 		collector, err := metrics.New()
 		assert.NilError(t, err)
-		p.metrics, p.poolHistories = collector, map[string][]string{}
+		p.metrics, p.history = collector, ingress.NewQueueHistory()
 		s := p.currentSettings()
 		s.Keys.Revoke = testRevokeTime
 		p.settings.Store(&s)
