A job is not reported as gone while the pool that has it has no owner

Cause: a job that the queue's pool does not have was searched in the pools that had an owner at that moment. A pool whose owner row names a former incarnation is not among them, and "no pool with an owner has it" was answered as "no such job".

Fix: the pools that may have jobs of the route are known from the rows of the queues. All of them are called at the same time, and each call waits for an owner. The first that has the job answers; "gone" needs the answer of each. So a pool without an owner that does not have the job no longer delays the answer either. Other pools are still searched for jobs that a former build stored without the rows.

Ruled out: that the new owner answers before it has loaded its rows (it refuses until then).

--- a/jobs/ingress/forwarder.go
+++ b/jobs/ingress/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -56,9 +57,8 @@
 func (f *Forwarder) SetDirectory(d cluster.Directory) { f.directory.Store(&d) }
 
 // CallAny forwards a call about a job to the owner of its queue's shard. A job stays
-// in the shard that accepted it when its queue is moved to another pool, so a job that is
-// unknown there is searched in the other shards. former lists the other
-// places that may have jobs of the route.
+// in the shard that accepted it when its queue is moved to another pool. former lists the
+// other places that may have jobs of the route.
 func (f *Forwarder) CallAny(ctx context.Context, request *jobpb.Request, former []Place) *jobpb.Reply {
 	switch request.Call {
 	case jobpb.Call_CALL_SUBMIT:
@@ -69,15 +69,49 @@
 	case jobpb.Call_CALL_WAITING:
 		return f.sumWaiting(ctx, request, former)
 	}
-	reply := f.Call(ctx, request)
+	places := append([]Place{{job.Queue(request.Queue), request.Shard}}, former...)
+	reply := f.callPlaces(ctx, request, places)
 	if !isInvisible(reply) {
 		return reply
 	}
+	return f.searchOtherShards(ctx, request, places)
+}
+
+// callPlaces calls all places at the same time and returns the reply of the one that has the
+// job. Otherwise it returns a reply that leaves open whether a place has the job: a shard
+// without an owner may have it. Only if no place has it, the reply is invisible.
+func (f *Forwarder) callPlaces(ctx context.Context, request *jobpb.Request, places []Place) *jobpb.Reply {
+	if len(places) == 1 {
+		return f.Call(ctx, withPlace(request, places[0]))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan *jobpb.Reply, len(places))
+	for _, place := range places {
+		go func() { replies <- f.Call(ctx, withPlace(request, place)) }()
+	}
+	result := &jobpb.Reply{Code: jobpb.Code_CODE_NOT_FOUND}
+	for range places {
+		switch reply := <-replies; {
+		case reply.Code == jobpb.Code_CODE_OK:
+			return reply
+		case !isInvisible(reply), reply.Code == jobpb.Code_CODE_CONFLICT && isInvisible(result):
+			result = reply
+		}
+	}
+	return result
+}
+
+// searchOtherShards searches a job in the shards that have an owner, other than those of the
+// given places. It finds jobs that a former build stored without the row of their queue.
+func (f *Forwarder) searchOtherShards(ctx context.Context, request *jobpb.Request, places []Place) *jobpb.Reply {
 	for shard := range *f.directory.Load() {
-		if shard == request.Shard || !f.o.IsPool(shard) {
+		known := slices.ContainsFunc(places, func(p Place) bool { return p.Pool == shard })
+		if known || !f.o.IsPool(shard) {
 			continue
 		}
-		if other := f.Call(ctx, withPlace(request, Place{job.Queue(request.Queue), shard})); !isInvisible(other) {
+		place := Place{job.Queue(request.Queue), shard}
+		if other := f.Call(ctx, withPlace(request, place)); !isInvisible(other) {
 			return other
 		}
 	}
@@ -100,20 +134,18 @@
 // findInFormerPlaces returns the reply to a submission whose job a former place
 // has or may have, and nil when none has it.
 func (f *Forwarder) findInFormerPlaces(ctx context.Context, request *jobpb.Request, former []Place) *jobpb.Reply {
-	for _, place := range former {
-		query := withPlace(request, place)
-		query.Call, query.Job = jobpb.Call_CALL_STATE, nil
-		switch code := f.Call(ctx, query).Code; code {
-		case jobpb.Code_CODE_NOT_FOUND:
-		case jobpb.Code_CODE_CONFLICT:
-			return &jobpb.Reply{Code: code}
-		case jobpb.Code_CODE_OK:
-			return &jobpb.Reply{Code: jobpb.Code_CODE_OK}
-		default:
-			return &jobpb.Reply{Code: jobpb.Code_CODE_UNKNOWN}
-		}
+	if len(former) == 0 {
+		return nil
+	}
+	query := withPlace(request, Place{})
+	query.Call, query.Job = jobpb.Call_CALL_STATE, nil
+	switch code := f.callPlaces(ctx, query, former).Code; code {
+	case jobpb.Code_CODE_NOT_FOUND:
+		return nil
+	case jobpb.Code_CODE_OK, jobpb.Code_CODE_CONFLICT:
+		return &jobpb.Reply{Code: code}
 	}
-	return nil
+	return &jobpb.Reply{Code: jobpb.Code_CODE_UNKNOWN}
 }
 
 func (f *Forwarder) sumWaiting(ctx context.Context, request *jobpb.Request, former []Place) *jobpb.Reply {
--- a/jobs/ingress/ingress_test.go
+++ b/jobs/ingress/ingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,3 +141,51 @@
 	assert.DeepEqual(t, asked, []string{"CALL_STATE old", "CALL_SUBMIT new"})
 	assert.Equal(t, call(jobpb.Call_CALL_WAITING, "", "old").Waiting, int64(6))
 }
+
+// Guards against a job that is reported as gone, or whose cancellation is, while the shard
+// that accepted it has no owner.
+func TestJobOfFormerPlaceWithoutOwnerIsNotGone(t *testing.T) {
+	for name, kind := range map[string]jobpb.Call{"state": jobpb.Call_CALL_STATE, "cancel": jobpb.Call_CALL_CANCEL} {
+		for ownerAfter, want := range map[time.Duration]jobpb.Code{
+			500 * time.Millisecond: jobpb.Code_CODE_OK, time.Minute: jobpb.Code_CODE_REFUSED,
+		} {
+			t.Run(fmt.Sprint(name, " owner after ", ownerAfter), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := NewForwarder(Options{
+						Local: func(_ context.Context, r *jobpb.Request) *jobpb.Reply {
+							if r.Shard == "old" && r.Queue == "former" {
+								return ok
+							}
+							return &jobpb.Reply{Code: jobpb.Code_CODE_NOT_FOUND}
+						},
+						Client: relay.NewClient(), Refresh: func() {}, Recorder: eventlog.Discard, IsPool: func(string) bool { return true },
+					})
+					f.SetDirectory(cluster.Directory{"new": {Self: true}})
+					time.AfterFunc(ownerAfter, func() { f.SetDirectory(cluster.Directory{"new": {Self: true}, "old": {Self: true}}) })
+					ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+					defer cancel()
+					reply := f.CallAny(ctx, &jobpb.Request{Call: kind, Shard: "new", Queue: "queue", Id: "job"}, []Place{{"former", "old"}})
+					assert.Equal(t, reply.Code, want)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a job whose state is unknown to callers because a pool that does not have it
+// has no owner.
+func TestJobIsFoundBesideAPoolWithoutOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewForwarder(Options{
+			Local:  func(context.Context, *jobpb.Request) *jobpb.Reply { return ok },
+			Client: relay.NewClient(), Refresh: func() {}, Recorder: eventlog.Discard, IsPool: func(string) bool { return true },
+		})
+		f.SetDirectory(cluster.Directory{"old": {Self: true}})
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		began := time.Now()
+		reply := f.CallAny(ctx, &jobpb.Request{Call: jobpb.Call_CALL_STATE, Shard: "new", Queue: "queue", Id: "job"}, []Place{{"queue", "old"}})
+		assert.Equal(t, reply.Code, jobpb.Code_CODE_OK)
+		assert.Assert(t, time.Since(began) < 10*time.Millisecond)
+	})
+}
