--- a/jobs/shard/load.go
+++ b/jobs/shard/load.go
@@ -151,7 +151,7 @@
 			js.started = true
 			if f.Task == gangFailure {
 				step.addFailedRun(int(f.Run))
-			} else if int(f.Task) < len(step.tasks) {
+			} else if f.Task >= 0 && int(f.Task) < len(step.tasks) {
 				step.tasks[f.Task].addFailedRun(int(f.Run))
 			}
 		}
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -67,9 +67,10 @@
 }
 
 // queueWorkerRow adds the worker's row to the next transaction, so that a later owner
-// queries the worker.
+// queries the worker. A worker that has never replied gets no tasks and no row: later owners
+// would wait for it.
 func (s *Shard) queueWorkerRow(w *workerState) {
-	if w.rowCommitted || w.rowQueued || s.opts.Clock() < w.vacateUntil {
+	if w.rowCommitted || w.rowQueued || w.clock == 0 || s.opts.Clock() < w.vacateUntil {
 		return
 	}
 	w.rowQueued = true
@@ -307,6 +308,9 @@
 	}
 	w.noteStatusTime(reply)
 	w.updateClock(status.ClockTime, s.opts.Clock())
+	if first && w.registered {
+		s.queueWorkerRow(w)
+	}
 	s.applyStatus(w, sent, status)
 	return w
 }
