Soak: queues that are sent to other pools, repeated calls, odd registry entries

Both kinds of faults are also in the general runs; odd entries are present at the start and arrive later.

--- a/jobs/shard/queues_test.go
+++ b/jobs/shard/queues_test.go
@@ -21,6 +21,12 @@
 	return r.startOwner()
 }
 
+// knownQueue returns the configuration of the test queue that the owner knows.
+func (o *owner) knownQueue() (q Queue) {
+	o.callOnLoop(func() { q = o.queues[testQueue] })
+	return q
+}
+
 func (r *rig) queueRows() (queues []*jobpb.Queue) {
 	r.t.Helper()
 	page, err := rows.ReadAll(context.Background(), r.store, QueueTable, "")
@@ -87,7 +93,7 @@
 		o = r.replaceOwner(o)
 		r.awaitState(o, 1, job.Completed, 20*time.Second)
 		assert.Equal(t, r.fleet.TicketsRefused(), 0)
-		o.callOnLoop(func() { assert.Equal(t, o.queues[testQueue], configured) })
+		assert.Equal(t, o.knownQueue(), configured)
 	})
 }
 
@@ -113,7 +119,7 @@
 		o = r.replaceOwner(o)
 		time.Sleep(time.Second)
 		assert.Equal(t, r.queueRows()[0].Attempts, int64(9))
-		o.callOnLoop(func() { assert.Equal(t, o.queues[testQueue].Attempts, 9) })
+		assert.Equal(t, o.knownQueue().Attempts, 9)
 	})
 }
 
--- a/testbed/soak/callers.go
+++ b/testbed/soak/callers.go
@@ -56,6 +56,8 @@
 	// unknownKeyInterval is one more than the number of jobs with a valid key between two
 	// without.
 	unknownKeyInterval = 8
+	// repeatInterval is the number of submissions for each repeated call, on average.
+	repeatInterval = 4
 )
 
 func newCallers(r *run) *callers {
@@ -80,10 +82,24 @@
 		} else {
 			c.submitWithRetries(s, rng)
 		}
+		c.repeatCalls(rng)
 		pause(ctx, time.Duration(rng.IntN(150))*time.Millisecond)
 	}
 }
 
+// repeatCalls sends the submission of an accepted job again, as late copies do, and asks for
+// the state of another one.
+func (c *callers) repeatCalls(rng *rand.Rand) {
+	if id, ok := c.randomAccepted(rng); ok && rng.IntN(repeatInterval) == 0 {
+		c.sendRequest(rng, http.MethodPost, id, c.run.keys.valid(workspaceOf(id), rng), jobBody(id, 1))
+	}
+	if id, ok := c.randomAccepted(rng); ok && rng.IntN(repeatInterval) == 0 {
+		if status, _ := c.sendRequest(rng, http.MethodGet, id, c.run.keys.valid(workspaceOf(id), rng), nil); status == http.StatusGone {
+			c.recordViolation("job %s was accepted, but its status is gone", id)
+		}
+	}
+}
+
 // jobBody returns the body of a submission.
 func jobBody(id job.ID, tasks int) []byte {
 	steps := []map[string]any{
--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -79,8 +79,12 @@
 
 var faultNames = []string{
 	pauseFault, "starve", "kill", "stop", "link", "reset", "store", "orders", "dark", "cut", "reborn", restartFault, "configuration", "keys", outageFault,
+	moveFault, "odd",
 }
 
+// moveFault sends the queue of a pool to another pool and puts it back later.
+const moveFault = "move"
+
 // pauseFault suspends a process. It can last longer than the leases of workers.
 const pauseFault = "pause"
 
@@ -96,7 +100,8 @@
 // process and worker. Such a function returns the target of the fault and a function that
 // ends the fault.
 func (r *run) faultStarters(rng *rand.Rand) map[string]func() (string, func()) {
-	pool := poolName(rng.IntN(r.options.Pools))
+	poolNumber := rng.IntN(r.options.Pools)
+	pool := poolName(poolNumber)
 	p := r.chooseProcess(rng, pool)
 	workerNumber := rng.IntN(r.options.Workers)
 	id := workerID(pool, workerNumber)
@@ -175,7 +180,16 @@
 			if err := r.configure(); err != nil {
 				r.callers.recordViolation("configure: %v", err)
 			}
-			return fmt.Sprint(r.version), noop
+			return "", noop
+		},
+		moveFault: func() (string, func()) {
+			to := (poolNumber + 1 + faultNumber%max(r.options.Pools-1, 1)) % r.options.Pools
+			r.moveQueue(poolNumber, to)
+			return fmt.Sprintf("queue of %s to %s", pool, poolName(to)), func() { r.moveQueue(poolNumber, poolNumber) }
+		},
+		"odd": func() (string, func()) {
+			r.platform.PutOddEntries(pool, fmt.Sprint("odd-", faultNumber))
+			return pool, noop
 		},
 		"keys": func() (string, func()) {
 			workspace := faultNumber % workspaceCount
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -70,7 +70,7 @@
 	keys       *keyring     // Nil without workspaces.
 	storeFault atomic.Int32 // The rowstest.Fault that a share of the commits gets.
 	orderFault atomic.Int32 // The workertest.Fault that a share of the orders to workers gets.
-	version    int
+	routes     routes
 	faultLog   []string
 	startedAt  time.Time
 }
@@ -85,7 +85,7 @@
 	o.WorkerCPU = cmp.Or(o.WorkerCPU, standin.Capacity.CPU)
 	o.Duration = cmp.Or(o.Duration, defaultDuration)
 	o.FaultGap = cmp.Or(o.FaultGap, defaultFaultGap)
-	r := &run{options: o, startedAt: time.Now()}
+	r := &run{options: o, startedAt: time.Now(), routes: routes{moved: map[int]int{}}}
 	if !o.WithoutWorkspaces {
 		r.keys = newKeyring()
 	}
@@ -113,6 +113,7 @@
 			return err
 		}
 	}
+	r.platform.PutOddEntries(poolName(0), "odd-at-start")
 	if err := r.configure(); err != nil {
 		return err
 	}
@@ -154,9 +155,29 @@
 
 func (r *run) configure() error { return r.keys.configure(r.writeConfig) }
 
+// routes are the pools to which the queues are sent, and the version of the configuration.
+type routes struct {
+	mu      sync.Mutex
+	version int
+	moved   map[int]int // Pool by queue, for the queues that are sent to another one.
+}
+
+// moveQueue sends the queue of a pool to another one and writes the configuration. The pool's
+// own number puts the queue back.
+func (r *run) moveQueue(pool, to int) {
+	r.routes.mu.Lock()
+	r.routes.moved[pool] = to
+	r.routes.mu.Unlock()
+	if err := r.configure(); err != nil {
+		r.callers.recordViolation("configure: %v", err)
+	}
+}
+
 // writeConfig writes a configuration with keys by workspace.
 func (r *run) writeConfig(keys [][]string) error {
-	r.version += versionIncrement
+	r.routes.mu.Lock()
+	defer r.routes.mu.Unlock()
+	r.routes.version += versionIncrement
 	var tenants []standin.Tenant
 	for workspace, list := range keys {
 		tenants = append(tenants, standin.Tenant{Name: workspaceName(workspace), Keys: list, CapCPU: r.options.CapCPU})
@@ -166,9 +187,13 @@
 	for i := range r.options.Pools {
 		pool := poolName(i)
 		pools = append(pools, pool)
-		queues = append(queues, standin.Queue{Name: "queue-of-" + pool, Host: host, Prefix: poolPath(i), Pool: pool})
+		to, moved := r.routes.moved[i]
+		if !moved {
+			to = i
+		}
+		queues = append(queues, standin.Queue{Name: "queue-of-" + pool, Host: host, Prefix: poolPath(i), Pool: poolName(to)})
 	}
-	return r.platform.Configure(r.version, pools, queues, tenants)
+	return r.platform.Configure(r.routes.version, pools, queues, tenants)
 }
 
 // startProbes starts the checks that last until the returned function is called.
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -51,6 +51,17 @@
 	}
 }
 
+// Guards against jobs that run twice, are gone or are lost because their queue is sent to
+// other pools while processes are killed, stopped and suspended, and against processes that
+// end because of odd entries in the registry.
+func TestMovedQueues(t *testing.T) {
+	binary := buildProgram(t)
+	assert.NilError(t, Run(Options{
+		Binary: binary, Dir: t.TempDir(), Seed: 1, Duration: shortRun, Pools: 3, FaultGap: 400 * time.Millisecond,
+		Faults: []string{moveFault, moveFault, "kill", "stop", pauseFault, "odd"},
+	}))
+}
+
 // Guards against a soak that ends with a panic or does not end when a program cannot be
 // started.
 func TestProgramThatCannotStart(t *testing.T) {
