An owner without enough processor time starts fewer tasks at a time

It ordered all starts at once. Each got a reply within milliseconds, but the process could not handle it within the timeout of 400 ms: 500 and more start-unanswered in every two seconds from 31 s to the end at 55 s, although nothing was disturbed from 34 s on. A start without a reply costs a status request and a stop, and the task is started again, so that the load rose with the backlog.

Fix: a shard has at most 64 start orders in flight. The window halves when replies take longer than a third of the timeout, at most once per timeout, down to 8, and grows by one per round of replies.

Ruled out: the VM service (no order of it is among the ends), links (none was disturbed), a lost owner (the shard stayed with fence 13005).

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -123,6 +123,7 @@
 	EndsStored         Code = 4595
 	HeadClaimed        Code = 4596
 	WorkerOverCapacity Code = 4597
+	StartsLimited      Code = 4598
 )
 
 // Codes of the store, 5000 to 5999.
@@ -311,6 +312,7 @@
 	{EndsStored, "ends-stored", LevelInfo, "Up to which number the ends of workers are stored, or need no row; at most one line a second for each shard, with the number of its last transaction and up to 24 workers."},
 	{HeadClaimed, "head-claimed", LevelInfo, "This process claimed the head row of a shard; the fields name the former owner and its last transaction."},
 	{WorkerOverCapacity, "worker-over-capacity", LevelWarning, "The runs that execute on a worker need more than its capacity."},
+	{StartsLimited, "starts-limited", LevelInfo, "Replies to start orders are late, so the owner of a shard has fewer of them in flight."},
 
 	{StoreReachable, "store-reachable", LevelInfo, "The table service answers again."},
 	{StoreUnreachable, "store-unreachable", LevelAlarm, "The table service does not answer; nothing can be changed, requests are served."},
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/worker"
@@ -11,7 +12,7 @@
 // startTask orders a worker to run a task and returns the new attempt.
 func (s *Shard) startTask(t *task, w *workerState, run int) *attempt {
 	now := s.opts.Clock()
-	a := &attempt{task: t, ref: t.ref(), run: run, worker: w, reserved: t.step.spec.ReservedResources(), sentAt: now, pace: fullPace, timing: t.resumedTiming(), former: t.takeLostRun()}
+	a := &attempt{task: t, ref: t.ref(), run: run, worker: w, reserved: t.step.spec.ReservedResources(), sentAt: now, startedAt: now, pace: fullPace, timing: t.resumedTiming(), former: t.takeLostRun()}
 	t.addAttempt(a)
 	w.attempts[a.key()] = a
 	w.used = w.used.Plus(a.reserved)
@@ -21,6 +22,7 @@
 	order := worker.Start{Task: a.ref, Run: run, Spec: t.step.job.job.Spec, LeaseExpiry: leaseExpiry, Fence: s.opts.Fence, SavedCheckpoint: t.checkpoint, Ticket: t.step.ticketFor(w, now)}
 	t.step.job.started = true
 	s.addUnansweredStart(a, now)
+	s.starts.begin()
 	to := w.target()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
@@ -32,6 +34,7 @@
 }
 
 func (s *Shard) handleStartReply(a *attempt, clock worker.ClockTime, err error) {
+	s.endStartOrder(s.opts.Clock() - a.startedAt)
 	if err == nil || worker.Refused(err) {
 		delete(s.unansweredStarts[a.worker.info.ID], a.key())
 	}
@@ -66,6 +69,16 @@
 	s.requestStatus(a.worker)
 }
 
+// endStartOrder makes room for the next start order and places the tasks that wait for it.
+func (s *Shard) endStartOrder(took time.Duration) {
+	if s.starts.end(took, s.opts.Clock()) {
+		s.recordEvent(eventlog.StartsLimited, eventlog.Fields{"window": int(s.starts.size), "in_flight": s.starts.inFlight, "took": took.String()})
+	}
+	if s.starts.takeRoom() {
+		s.schedulePlacement()
+	}
+}
+
 // stopUncertainStarts stops runs that have been uncertain since before the given
 // logical time. A run that the worker's status lists is no longer uncertain and
 // continues.
--- a/jobs/shard/place.go
+++ b/jobs/shard/place.go
@@ -41,6 +41,10 @@
 		return
 	}
 	s.promoteExcessJobs()
+	if s.starts.full() {
+		s.starts.waiting = true
+		return
+	}
 	waiting := s.waitingSteps()
 	if len(waiting) == 0 && !s.hasSpeculativeSteps() {
 		s.fair.held = nil
@@ -53,7 +57,8 @@
 		p.placeStep(step)
 	}
 	s.fair.held = p.held
-	if len(p.unplaceable) == 0 {
+	s.starts.waiting = s.starts.full()
+	if len(p.unplaceable) == 0 && !s.starts.full() {
 		p.startSpeculativeRuns()
 	}
 	s.finishPass()
@@ -163,7 +168,7 @@
 		if t.done || len(t.attempts) > 0 || t.notBefore > p.now {
 			continue
 		}
-		if !p.permitsStart(step) {
+		if p.shard.starts.full() || !p.permitsStart(step) {
 			break
 		}
 		i := p.chooseNode(t)
@@ -271,7 +276,7 @@
 		}
 		run = max(run, t.lastRun)
 	}
-	if !p.permitsStart(step) {
+	if p.shard.starts.full() || !p.permitsStart(step) {
 		return
 	}
 	chosen := p.chooseGangNodes(step)
--- a/jobs/shard/rig_test.go
+++ b/jobs/shard/rig_test.go
@@ -57,6 +57,8 @@
 	attemptRecords bool // Of owners started from then on.
 	owners         []*owner
 	adviser        worker.Adviser
+	// client sends the orders of new owners; nil for the fleet itself.
+	client worker.Client
 	// queues are the configured queues of new owners.
 	queues Queues
 	// workspaces are the workspaces of new owners; nil for none.
@@ -153,10 +155,14 @@
 		o.loop = loop.New()
 		go o.loop.Run(r.ctx)
 	}
+	var client worker.Client = r.fleet
+	if r.client != nil {
+		client = r.client
+	}
 	s, err := New(Options{
 		Pool: pool, Owner: fmt.Sprintf("owner-%d", r.fence), Fence: r.fence,
 		LeaseDuration: testLease, MaxLease: r.fleet.MaxLease, KeepEnded: 10 * time.Minute, StopTime: testStopTime,
-		Store: r.store, Workers: r.fleet, Adviser: r.adviser, Loop: o.loop, Recorder: r.recorder,
+		Store: r.store, Workers: client, Adviser: r.adviser, Loop: o.loop, Recorder: r.recorder,
 		OwnsShard: o.ownsShard.Load, OnLost: func() { o.lost.Store(true) },
 		Clock:            func() time.Duration { return time.Since(r.startedAt) + time.Second },
 		LearnedDurations: r.learned, AttemptRecords: r.attemptRecords,
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -49,6 +49,7 @@
 	placementScheduled bool
 	placementNeeded    bool // Something has changed since the last placement pass.
 	adviceCalls        int  // Advice requests in flight.
+	starts             startWindow
 	registry           []worker.Info
 	registryRead       bool // The registry was read since this process became the owner.
 	lastSweep          time.Duration
@@ -80,7 +81,7 @@
 	s := &Shard{
 		opts: opts, queues: Queues{}, storedQueues: map[job.Queue]storedQueue{}, jobs: map[job.ID]*jobState{}, ended: map[job.ID]endedJob{},
 		workers: map[worker.ID]*workerState{}, unansweredStarts: map[worker.ID]map[runKey]unansweredStart{}, startableSteps: map[*stepState]struct{}{}, delayedSteps: map[*stepState]struct{}{},
-		predictors: map[job.Queue]*scheduler.DurationPredictor{},
+		predictors: map[job.Queue]*scheduler.DurationPredictor{}, starts: newStartWindow(),
 	}
 	if opts.LearnedDurations {
 		s.learning = newLearning()
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -185,7 +185,8 @@
 	phase    phase
 	// answeredAt is when the worker answered the last order about the run, or 0 before.
 	answeredAt logicalTime
-	sentAt     time.Duration
+	sentAt     time.Duration // When the last order about the run was sent.
+	startedAt  time.Duration // When its start was ordered.
 	// uncertainSince is when a start timed out without a reply, or 0 before.
 	uncertainSince logicalTime
 	firstSeenAt    time.Duration // When the run was first known to be running.
