A late owner does not interrupt long-running tasks at work

Cause: an owner that handles replies late took that for the silence of workers. A start whose reply was late is uncertain, and when the reply to the status request was late too, the run was stopped, although it was at work by then. A status that was handled late stopped the runs that began after it was taken, and an unanswered stop was repeated although a later status listed the run at work. Other tasks of the step were away for the same reason.

Fix: a missing reply stops nothing; the next status decides. A status that may be older than the shortest start-up stops an uncertain run, and a stop is repeated for a run at work, only if enough other tasks of the step are available. The age of a status is that of its request, not of its arrival, and runs of a former owner count as available once a status shows that no stop of it is pending; this replaces a fixed wait after a takeover.

--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -80,13 +80,33 @@
 }
 
 // stopUncertainStarts stops runs that have been uncertain since before the given
-// logical time. A run that the worker's status lists is no longer uncertain and
-// continues.
+// logical time, at which a status was requested that does not list them. A missing reply
+// alone does not stop a run: if this process is late, the replies of sound workers are missing
+// too, and their runs may have been at work for long.
 func (s *Shard) stopUncertainStarts(w *workerState, before logicalTime) {
 	for _, a := range w.attempts {
-		if a.phase == starting && a.uncertainSince > 0 && a.uncertainSince < before {
-			s.stopAttempt(a)
+		if a.phase != starting || a.uncertainSince == 0 || a.uncertainSince >= before {
+			continue
 		}
+		if a.task != nil && !w.listsStartedRuns(s.opts.Clock()) && !s.permitsDisruption(a.task) {
+			s.requestStatusAgain(w)
+			continue
+		}
+		s.stopAttempt(a)
+	}
+}
+
+// listsStartedRuns reports whether the last status is so recent that no run which it does
+// not list can be at work by now.
+func (w *workerState) listsStartedRuns(now time.Duration) bool {
+	return now-w.statusTakenAt < startupPollInterval
+}
+
+// requestStatusAgain requests the status of a worker unless one was requested just before.
+func (s *Shard) requestStatusAgain(w *workerState) {
+	if now := s.opts.Clock(); now-w.statusRequestedAt >= startupPollInterval {
+		w.statusRequestedAt = now
+		s.requestStatus(w)
 	}
 }
 
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -249,6 +249,7 @@
 	lastStatusClock worker.ClockTime
 	lastStatusAt    time.Duration // When that status was applied.
 	statusTakenAt   time.Duration // When that status was taken at the earliest.
+	firstReplyAt    time.Duration // When this owner got the first reply of this incarnation.
 	clockOffset     time.Duration // Lower bound of the shard's clock minus the worker's clock.
 	ackedEnd        uint64        // Number up to which the worker has confirmed an acknowledgement.
 	confirmedAt     time.Duration // When a hold without an acknowledgement was last sent to confirm the incarnation.
--- a/jobs/shard/vacate.go
+++ b/jobs/shard/vacate.go
@@ -122,19 +122,12 @@
 
 // evacuate stops the long-running tasks of a worker, provided that enough other tasks
 // of their steps are available and another worker has capacity.
-//
-// After a takeover it waits for StopTime and maxStatusAge: a run that the former owner
-// is stopping looks available until the stop takes effect and shows in the worker's
-// status.
 func (s *Shard) evacuate(w *workerState) {
-	if s.opts.Clock() < s.ownerSince+s.opts.StopTime+maxStatusAge {
-		return
-	}
 	for _, a := range w.attempts {
 		if a.task == nil || a.phase != running || !a.task.step.spec.LongRunning || !a.task.step.job.canStartTasks() {
 			continue
 		}
-		if !a.task.step.permitsDisruption(a.task, s.opts.Clock()) {
+		if !s.permitsDisruption(a.task) {
 			s.pollStartingTasks(a.task.step)
 			continue
 		}
@@ -150,12 +143,10 @@
 // starting, to learn when they become available. A hold that waits for a run to end
 // does not report this.
 func (s *Shard) pollStartingTasks(step *stepState) {
-	now := s.opts.Clock()
 	for _, t := range step.tasks {
 		for _, a := range t.attempts {
-			if a.phase == running && a.percent < startedPercent && now-a.worker.statusRequestedAt >= startupPollInterval {
-				a.worker.statusRequestedAt = now
-				s.requestStatus(a.worker)
+			if a.phase == running && a.percent < startedPercent {
+				s.requestStatusAgain(a.worker)
 			}
 		}
 	}
@@ -163,17 +154,18 @@
 
 // permitsDisruption reports whether a task may be interrupted, which requires that
 // fewer than MaxDisrupted other tasks of its step are unavailable.
-func (s *stepState) permitsDisruption(t *task, now time.Duration) bool {
-	if s.spec.MaxDisrupted == 0 {
+func (s *Shard) permitsDisruption(t *task) bool {
+	limit := t.step.spec.MaxDisrupted
+	if limit == 0 {
 		return true
 	}
-	unavailable := 0
-	for _, other := range s.tasks {
-		if other != t && !other.isAvailable(now) {
+	now, unavailable := s.opts.Clock(), 0
+	for _, other := range t.step.tasks {
+		if other != t && !s.isAvailable(other, now) {
 			unavailable++
 		}
 	}
-	return unavailable < s.spec.MaxDisrupted
+	return unavailable < limit
 }
 
 // startedPercent is the progress at which a run has completed its start-up.
@@ -183,20 +175,36 @@
 // there now.
 const maxStatusAge = 2 * time.Second
 
+// disruptsTooMany reports whether the stop of a run would interrupt a task at work of a job
+// that goes on, while too many others of its step are unavailable. An earlier stop order may
+// have got no reply, and the run has begun or gone on since.
+func (s *Shard) disruptsTooMany(a *attempt) bool {
+	atWork := a.percent >= startedPercent && a.task != nil && !a.task.done && a.task.step.job.canStartTasks()
+	return atWork && !s.permitsDisruption(a.task)
+}
+
 // isAvailable reports whether the task has a run that has completed its start-up and is
 // not being stopped, on a responsive worker.
-func (t *task) isAvailable(now time.Duration) bool {
+func (s *Shard) isAvailable(t *task, now time.Duration) bool {
 	for _, a := range t.attempts {
-		if a.phase == running && a.percent >= startedPercent && a.worker.isResponsive(now) {
+		if a.phase == running && a.percent >= startedPercent && a.worker.isResponsive(now) && !s.mayBeStopping(a) {
 			return true
 		}
 	}
 	return false
 }
 
-// isResponsive reports whether the worker replies to holds and its last status is recent.
+// isResponsive reports whether the worker replies to holds and its last status is recent. A
+// status that this process handles late is as old as the worker took it, not as its arrival.
 func (w *workerState) isResponsive(now time.Duration) bool {
-	return w.failedHolds == 0 && now-w.clockReadAt < maxStatusAge
+	return w.failedHolds == 0 && now-w.statusTakenAt < maxStatusAge
+}
+
+// mayBeStopping reports whether a former owner may have ordered the stop of a run that its
+// worker still lists. The worker refuses orders of former owners since its first reply to
+// this one, and what they ordered before takes effect within StopTime.
+func (s *Shard) mayBeStopping(a *attempt) bool {
+	return a.found && a.worker.statusTakenAt < a.worker.firstReplyAt+s.opts.StopTime
 }
 
 // canPlaceTask reports whether a worker has capacity for another task of a step.
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -219,15 +219,8 @@
 }
 
 // requestStatus requests a worker's status immediately, in addition to a hold that is
-// waiting for a run to end. If the request fails, runs with an uncertain start are
-// stopped.
-func (s *Shard) requestStatus(w *workerState) {
-	s.queryStatus(w, func(err error) {
-		if err != nil {
-			s.stopUncertainStarts(w, s.nextLogicalTime())
-		}
-	})
-}
+// waiting for a run to end. If the request fails, the next hold reports it.
+func (s *Shard) requestStatus(w *workerState) { s.queryStatus(w, func(error) {}) }
 
 // confirmLeaseExpiry gives up the runs of a worker whose lease has expired, unless it
 // replies to one more query: the worker may seem silent only because this process got no
@@ -297,6 +290,7 @@
 	w = s.reportingIncarnation(w, status.StartedUnixMs)
 	first := w.clock == 0
 	if first {
+		w.firstReplyAt = s.opts.Clock()
 		s.recordEvent(eventlog.WorkerJoined, eventlog.Fields{
 			"worker": w.info.ID, "zone": w.info.Zone, "rack": w.rack(), "known_for": (s.opts.Clock() - w.knownSince).String(),
 			"age": s.opts.WallClock().Sub(time.UnixMilli(w.info.StartedUnixMs)).String(), "recorded": w.rowCommitted,
@@ -355,7 +349,7 @@
 		return
 	}
 	for _, a := range w.attempts {
-		if a.phase == stopping && !a.stopInFlight && a.answeredAt == 0 && now-a.sentAt > orderRetryDelay {
+		if a.phase == stopping && !a.stopInFlight && a.answeredAt == 0 && now-a.sentAt > orderRetryDelay && !s.disruptsTooMany(a) {
 			s.stopAttempt(a)
 		}
 	}
--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -41,6 +41,9 @@
 	done            map[job.TaskRef]*doneRunEnd
 	starts          map[job.TaskRef]int
 	violations      []string
+	limits          *DisruptionLimits // nil disables the check of disruptions.
+	presences       map[job.TaskRef]*presence
+	orderIsLate     bool // The order that is carried out was delayed.
 }
 
 type simulatedWorker struct {
@@ -229,6 +232,7 @@
 	w.terminated = true
 	for _, r := range w.runs {
 		r.timer.Stop()
+		f.noteEnd(r)
 	}
 	w.runs = map[job.TaskRef]*run{}
 }
--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -54,7 +54,9 @@
 			if reached.partitioned || reached != w && (!f.DeliverToNewIncarnation || name == "hold") {
 				return
 			}
+			f.orderIsLate = true
 			_ = order(reached) // Nobody waits for the reply.
+			f.orderIsLate = false
 		})
 	}
 	if unreachable || fault == Delayed {
@@ -85,6 +87,7 @@
 		w.fence = fence
 		w.highestRun[task] = max(w.highestRun[task], number)
 		if r := w.runs[task]; r != nil && r.number == number {
+			f.noteOrderedEnd(w, r)
 			time.AfterFunc(cmp.Or(f.StopTime, defaultStopTime), func() { f.endRun(w, r, worker.Stopped) })
 		}
 		return nil
@@ -184,7 +187,7 @@
 	listed := w.endedRuns[:min(len(w.endedRuns), maxListedEnds)]
 	status := worker.Status{ClockTime: f.clock(w), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: slices.Clone(listed)}
 	for _, r := range w.runs {
-		status.Running = append(status.Running, worker.RunningTask{Task: r.task, Run: r.number, Percent: 100})
+		status.Running = append(status.Running, worker.RunningTask{Task: r.task, Run: r.number, Percent: f.percent(r)})
 	}
 	return status, nil
 }
--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -28,9 +28,10 @@
 }
 
 type run struct {
-	task   job.TaskRef
-	number int
-	timer  *time.Timer
+	task      job.TaskRef
+	number    int
+	startedAt time.Duration
+	timer     *time.Timer
 }
 
 // voidUnackedRunEnds marks the ended runs of a worker that were not acknowledged as void:
@@ -63,9 +64,10 @@
 	w.highestRun[order.Task] = order.Run
 	f.starts[order.Task]++
 	f.checkStartAllowed(w, order)
-	r := &run{task: order.Task, number: order.Run}
+	r := &run{task: order.Task, number: order.Run, startedAt: f.now()}
 	f.checkCapacity(w, r, order.Fence)
 	w.runs[order.Task] = r
+	f.noteStart(r)
 	plan := f.planRun(order.Task, order.Run)
 	if f.planRunOnWorker != nil {
 		plan = f.planRunOnWorker(w.info.ID, order.Task)
@@ -137,6 +139,7 @@
 // endRunLocked ends a run and queues its end for the next status. The caller holds the lock.
 func (f *Fleet) endRunLocked(w *simulatedWorker, r *run, outcome worker.Outcome) {
 	r.timer.Stop()
+	f.noteEnd(r)
 	delete(w.runs, r.task)
 	w.lastNumber++
 	if outcome == worker.Done {
