A large job does not keep its pool from storing anything

Cause: the job's row has 73,171 bytes, more than the store accepts. The store refuses the transaction, and the owner repeats it for good.

Fix: large values are compressed, and a job that still does not fit is invalid. The progress of waves has the same limit and is compressed too. The simulated store refuses large values.

Ruled out: an outage of the store (other pools go on).

--- a/jobs/maintenance/manager_test.go
+++ b/jobs/maintenance/manager_test.go
@@ -207,3 +207,32 @@
 		assert.Equal(t, fleet.services["vm-0"], 1)
 	})
 }
+
+// Guards against a wave of a large fleet whose progress takes more than a row of the store may
+// have, so that it is neither stored nor shown as completed.
+func TestProgressOfLargeWaveIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		fleet, store, l := newSimulatedVMs(1), &rowstest.Store{Latency: 4 * time.Millisecond}, loop.New()
+		go l.Run(ctx)
+		o := testOptions(fleet, fleet, store, l)
+		store.Put(rows.Row{Key: o.OwnerKey})
+		page, err := store.Read(ctx, o.OwnerKey.Table, o.OwnerKey.Part, o.OwnerKey.Name)
+		assert.NilError(t, err)
+		o.Fence = page.Rows[0].Version
+		m, err := New(o)
+		assert.NilError(t, err)
+		w := &waveProgress{Wave: Wave{Number: 1}, loaded: true, unsaved: true, done: map[string]bool{}}
+		for n := range 4100 {
+			w.done[fmt.Sprintf("vm-of-a-large-fleet-%04d", n)] = true
+		}
+		restored := &waveProgress{Wave: w.Wave, done: map[string]bool{}}
+		l.Call(ctx, func() { m.saveWave(w) })
+		time.Sleep(time.Second)
+		l.Call(ctx, func() { m.loadWave(restored) })
+		time.Sleep(time.Second)
+		l.Call(ctx, m.Stop)
+		assert.Equal(t, len(restored.done), 4100)
+	})
+}
--- a/jobs/maintenance/waves.go
+++ b/jobs/maintenance/waves.go
@@ -54,7 +54,8 @@
 	w.started, w.unsaved = m.o.WallClock(), true
 	for _, row := range page.Rows {
 		record := &jobpb.WaveProgress{}
-		if row.Key != progressKey(w.Number) || proto.Unmarshal(row.Value, record) != nil {
+		message, err := rows.Unpack(row.Value)
+		if row.Key != progressKey(w.Number) || err != nil || proto.Unmarshal(message, record) != nil {
 			continue
 		}
 		w.started, w.completed, w.unsaved = time.UnixMilli(record.StartedUnixMs), record.Completed, false
@@ -95,6 +96,9 @@
 		record.Done = append(record.Done, name)
 	}
 	value, err := proto.Marshal(record)
+	if err == nil {
+		value, err = rows.Pack(value)
+	}
 	if err != nil {
 		m.o.Recorder.Record(eventlog.WaveSaveFailed, eventlog.Fields{"wave": w.Number, "error": err})
 		return
--- a/jobs/rows/rowstest/store.go
+++ b/jobs/rows/rowstest/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"slices"
@@ -56,6 +57,9 @@
 // maxTxRows is the maximum number of rows of a transaction, including the expected ones.
 const maxTxRows = 100
 
+// maxValueBytes is the maximum size of a value in base64.
+const maxValueBytes = 64 << 10
+
 const defaultDelay = 3 * time.Second
 
 var _ rows.Store = (*Store)(nil)
@@ -75,12 +79,15 @@
 }
 
 // Commit implements [rows.Store]. Like the platform's store, it rejects a row without a
-// value, more rows than a transaction may have, and rows of several parts unless the
+// value or with a large one, more rows than a transaction may have, and rows of several parts unless the
 // transaction allows them.
 func (s *Store) Commit(ctx context.Context, tx rows.Tx) (rows.Result, error) {
 	if slices.ContainsFunc(tx.Set, func(row rows.Row) bool { return len(row.Value) == 0 }) {
 		return rows.Result{}, fmt.Errorf("a row has no value: %w", rows.ErrNotExecuted)
 	}
+	if slices.ContainsFunc(tx.Set, func(row rows.Row) bool { return base64.StdEncoding.EncodedLen(len(row.Value)) > maxValueBytes }) {
+		return rows.Result{}, fmt.Errorf("a value is too large: %w", rows.ErrNotExecuted)
+	}
 	if n := len(tx.Expect) + len(tx.Set) + len(tx.Delete); n > maxTxRows {
 		return rows.Result{}, fmt.Errorf("%d rows in a transaction, more than %d: %w", n, maxTxRows, rows.ErrNotExecuted)
 	}
--- a/jobs/shard/calls.go
+++ b/jobs/shard/calls.go
@@ -1,10 +1,14 @@
 package shard
 
 import (
+	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/rows"
 )
 
 // Code is the result code of a call to a shard.
@@ -77,6 +81,10 @@
 		reply(Result{Code: NotConfigured})
 		return
 	}
+	if err := rowError(j); err != nil {
+		reply(Result{Code: Invalid, Detail: err.Error()})
+		return
+	}
 	if err := s.capError(j); err != nil {
 		reply(Result{Code: Invalid, Detail: err.Error()})
 		return
@@ -98,6 +106,23 @@
 	s.flush()
 }
 
+// rowError returns an error for a job whose row the store would not accept. The store refuses
+// the whole transaction, so the row would keep the shard from storing anything.
+func rowError(j *job.Job) error {
+	record := job.ToRecord(j)
+	if proto.Size(record) <= rows.MaxPlainBytes {
+		return nil
+	}
+	value, err := packRecord(record)
+	if err != nil {
+		return fmt.Errorf("encode the job: %w", err)
+	}
+	if len(value) > maxRowBytes {
+		return fmt.Errorf("the job takes %d bytes in the store, more than %d: %w", len(value), maxRowBytes, rows.ErrTooLarge)
+	}
+	return nil
+}
+
 // refuseUnsentJobs refuses the submissions that wait for a transaction while the store does
 // not reply. Their rows were never sent, so the refusal is certain and the callers can try
 // again, whereas a submission that runs into its deadline has an unknown outcome.
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -180,7 +180,7 @@
 }
 
 func (b *batch) setRow(key rows.Key, record proto.Message) error {
-	value, err := proto.Marshal(record)
+	value, err := packRecord(record)
 	if err != nil {
 		return err
 	}
@@ -189,6 +189,14 @@
 	return nil
 }
 
+func packRecord(record proto.Message) ([]byte, error) {
+	value, err := proto.Marshal(record)
+	if err != nil {
+		return nil, err
+	}
+	return rows.Pack(value)
+}
+
 func (s *Shard) addJobRows(b *batch) error {
 	j := &s.journal
 	for len(j.inserts) > 0 && !b.full() {
--- a/jobs/shard/learnedrow.go
+++ b/jobs/shard/learnedrow.go
@@ -49,7 +49,11 @@
 		if row.Name != durationsName {
 			continue
 		}
-		if err := proto.Unmarshal(row.Value, record); err != nil {
+		message, err := rows.Unpack(row.Value)
+		if err == nil {
+			err = proto.Unmarshal(message, record)
+		}
+		if err != nil {
 			s.recordUnreadableDurations(err)
 			continue
 		}
--- a/jobs/shard/load.go
+++ b/jobs/shard/load.go
@@ -92,6 +92,9 @@
 		return fmt.Errorf("read table %s: %w", table, err)
 	}
 	for _, row := range page.Rows {
+		if message, err := rows.Unpack(row.Value); err == nil {
+			row.Value = message // Otherwise it cannot be decoded.
+		}
 		if err := read(row); err != nil {
 			s.recordEvent(eventlog.JobRowUnreadable, eventlog.Fields{"table": table, "row": row.Name, "version": row.Version, "error": err})
 		}
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -109,6 +109,8 @@
 	// maxCommitBytes bounds the size of the values in a transaction; the store accepts
 	// 1 MB in base64.
 	maxCommitBytes = 600_000
+	// maxRowBytes bounds a value; the store accepts 64 KiB in base64.
+	maxRowBytes = 48 << 10
 	// slowCommitAge is the age of an unanswered transaction from which new jobs are
 	// refused.
 	slowCommitAge = 700 * time.Millisecond
--- a/jobs/shard/queues.go
+++ b/jobs/shard/queues.go
@@ -35,7 +35,11 @@
 // DecodeQueue decodes a row of [QueueTable].
 func DecodeQueue(row rows.Row) (*jobpb.Queue, error) {
 	record := &jobpb.Queue{}
-	if err := proto.Unmarshal(row.Value, record); err != nil {
+	message, err := rows.Unpack(row.Value)
+	if err == nil {
+		err = proto.Unmarshal(message, record)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("decode row %s of a queue: %w", row.Name, err)
 	}
 	return record, nil
