A repeated stop waits for a recent status too

The check of uncertain starts now also decides on repeated stops: a run that may be at work since the last status is stopped only if its step permits it.

--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -88,20 +88,10 @@
 		if a.phase != starting || a.uncertainSince == 0 || a.uncertainSince >= before {
 			continue
 		}
-		if a.task != nil && !w.listsStartedRuns(s.opts.Clock()) && !s.permitsDisruption(a.task) {
-			s.requestStatusAgain(w)
-			continue
-		}
-		s.stopAttempt(a)
+		s.stopUnlessDisruptive(a)
 	}
 }
 
-// listsStartedRuns reports whether the last status is so recent that no run which it does
-// not list can be at work by now.
-func (w *workerState) listsStartedRuns(now time.Duration) bool {
-	return now-w.statusTakenAt < startupPollInterval
-}
-
 // requestStatusAgain requests the status of a worker unless one was requested just before.
 func (s *Shard) requestStatusAgain(w *workerState) {
 	if now := s.opts.Clock(); now-w.statusRequestedAt >= startupPollInterval {
--- a/jobs/shard/vacate.go
+++ b/jobs/shard/vacate.go
@@ -18,6 +18,8 @@
 	// startupPollInterval is the minimum time between two status requests to a worker
 	// with a starting task, while an evacuation waits for the step of that task.
 	startupPollInterval = 150 * time.Millisecond
+	// minStartup is less than the time that a run needs to start up.
+	minStartup = 300 * time.Millisecond
 )
 
 // WorkerUsage is the usage of one worker.
@@ -175,12 +177,22 @@
 // there now.
 const maxStatusAge = 2 * time.Second
 
-// disruptsTooMany reports whether the stop of a run would interrupt a task at work of a job
-// that goes on, while too many others of its step are unavailable. An earlier stop order may
-// have got no reply, and the run has begun or gone on since.
-func (s *Shard) disruptsTooMany(a *attempt) bool {
-	atWork := a.percent >= startedPercent && a.task != nil && !a.task.done && a.task.step.job.canStartTasks()
-	return atWork && !s.permitsDisruption(a.task)
+// stopUnlessDisruptive stops a run, unless it may be at work for a job that goes on, and too
+// many other tasks of its step are unavailable. Its start or an earlier stop got no reply, so
+// the next status decides.
+func (s *Shard) stopUnlessDisruptive(a *attempt) {
+	needed := a.task != nil && !a.task.done && a.task.step.job.canStartTasks()
+	if needed && s.mayBeAtWork(a) && !s.permitsDisruption(a.task) {
+		s.requestStatusAgain(a.worker)
+		return
+	}
+	s.stopAttempt(a)
+}
+
+// mayBeAtWork reports whether a run has completed its start-up, or may have since the last
+// status.
+func (s *Shard) mayBeAtWork(a *attempt) bool {
+	return a.percent >= startedPercent || s.opts.Clock()-a.worker.statusTakenAt > minStartup
 }
 
 // isAvailable reports whether the task has a run that has completed its start-up and is
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -349,8 +349,8 @@
 		return
 	}
 	for _, a := range w.attempts {
-		if a.phase == stopping && !a.stopInFlight && a.answeredAt == 0 && now-a.sentAt > orderRetryDelay && !s.disruptsTooMany(a) {
-			s.stopAttempt(a)
+		if a.phase == stopping && !a.stopInFlight && a.answeredAt == 0 && now-a.sentAt > orderRetryDelay {
+			s.stopUnlessDisruptive(a)
 		}
 	}
 }
