--- a/jobs/shard/startwindow.go
+++ b/jobs/shard/startwindow.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// maxStartWindow bounds the start orders in flight. A worker replies within a few
-	// milliseconds, so that it allows thousands of starts a second.
-	maxStartWindow = 64
+	// maxStartWindow bounds the start orders in flight. In a surge, replies take up to 0.1 s.
+	maxStartWindow = 256
 	// minStartWindow lets starts continue while workers do not reply.
-	minStartWindow = 8
-	// lateStartReply is the time to a reply from which the window shrinks. It is well below
-	// orderTimeout.
-	lateStartReply = orderTimeout / 3
+	minStartWindow = 32
+	// lateStartReply is the time to a reply from which the window shrinks.
+	lateStartReply = orderTimeout * 3 / 4
+	// startWindowGrowth is the growth of the window by one reply in time.
+	startWindowGrowth = 0.125
 )
 
 // startWindow limits the start orders in flight by additive increase and multiplicative
@@ -39,7 +39,7 @@
 func (w *startWindow) end(took, now time.Duration) (shrank bool) {
 	w.inFlight--
 	if took < lateStartReply {
-		w.size = min(w.size+1/w.size, maxStartWindow)
+		w.size = min(w.size+startWindowGrowth, maxStartWindow)
 		return false
 	}
 	if now-w.lastShrunk < orderTimeout || w.size == minStartWindow {
--- a/jobs/shard/startwindow_test.go
+++ b/jobs/shard/startwindow_test.go
@@ -128,7 +128,8 @@
 	}
 	assert.Equal(t, shrank, 1)
 	assert.Assert(t, !w.takeRoom(), "%d in flight of %v", w.inFlight, w.size)
-	for range 20 {
+	for float64(w.inFlight) > 0.75*w.size {
+		assert.Assert(t, !w.takeRoom())
 		w.end(time.Millisecond, now+orderTimeout)
 	}
 	assert.Assert(t, w.takeRoom() && !w.takeRoom())
