--- a/jobs/shard/disruption_test.go
+++ b/jobs/shard/disruption_test.go
@@ -10,8 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"peridotcrank.dev/jobs/job"
-	"peridotcrank.dev/jobs/rows"
-	"peridotcrank.dev/jobs/rows/rowstest"
 	"peridotcrank.dev/jobs/worker"
 	"peridotcrank.dev/jobs/worker/workertest"
 )
@@ -62,19 +60,7 @@
 		},
 		StartUp: lastingStartUp, Notice: awayNotice,
 	})
-	storeRandom, orderRandom := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
-	r.store.SetFault(func(rows.Tx) rowstest.Fault {
-		if storeRandom.IntN(3) > 0 {
-			return rowstest.NoFault
-		}
-		return x.storeFault
-	})
-	r.fleet.SetFault(func(worker.ID, string) workertest.Fault {
-		if orderRandom.IntN(6) > 0 {
-			return workertest.NoFault
-		}
-		return x.orderFault
-	})
+	x.installFaults(rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), 6)
 	for _, info := range r.workerInfos {
 		x.due = append(x.due, info.ID)
 	}
--- a/jobs/shard/random_test.go
+++ b/jobs/shard/random_test.go
@@ -105,18 +105,7 @@
 	r.addWorkers(randomWorkers)
 	r.fleet.SetRunPlan(x.planRun)
 	storeRandom, orderRandom := rand.New(rand.NewPCG(rng.Uint64(), 1)), rand.New(rand.NewPCG(rng.Uint64(), 2))
-	r.store.SetFault(func(rows.Tx) rowstest.Fault {
-		if storeRandom.IntN(3) > 0 {
-			return rowstest.NoFault
-		}
-		return x.storeFault
-	})
-	r.fleet.SetFault(func(worker.ID, string) workertest.Fault {
-		if orderRandom.IntN(4) > 0 {
-			return workertest.NoFault
-		}
-		return x.orderFault
-	})
+	x.installFaults(storeRandom, orderRandom, 4)
 	if x.lateRestarts {
 		delayRandom := rand.New(rand.NewPCG(rng.Uint64(), 3))
 		r.fleet.SetReplyDelay(func(worker.ID) time.Duration { return time.Duration(delayRandom.Int64N(int64(maxReplyDelay))) })
@@ -137,6 +126,23 @@
 	x.checkOutcomes()
 }
 
+// installFaults applies the store's fault to a third of the commits, and that of the orders to
+// one in orderInterval of them.
+func (x *faultRun) installFaults(storeRandom, orderRandom *rand.Rand, orderInterval int) {
+	x.rig.store.SetFault(func(rows.Tx) rowstest.Fault {
+		if storeRandom.IntN(3) > 0 {
+			return rowstest.NoFault
+		}
+		return x.storeFault
+	})
+	x.fleet.SetFault(func(worker.ID, string) workertest.Fault {
+		if orderRandom.IntN(orderInterval) > 0 {
+			return workertest.NoFault
+		}
+		return x.orderFault
+	})
+}
+
 // planRun returns the same plan for a given task and run number each time.
 func (x *faultRun) planRun(ref job.TaskRef, run int) workertest.RunPlan {
 	h := uint64(len(ref.String())+run) * 0x9e3779b97f4a7c15
