Each incarnation of a worker has a fence of its own

A hold without a reply acknowledges ends by numbers that count in one incarnation of a worker only, and names neither the incarnation nor a time; carried out late by the next one, it forgets ends that nobody has seen.

After a restart the orders to a worker now have the version of the owner's last transaction as their fence: higher than the former fence, lower than that of any later owner. The next incarnation refuses late orders for the former one.

Ruled out: a quarantine of restarted workers (15 s of their capacity at each crash), acknowledgements in calls of their own (rarer, not excluded).

Tests: fences of the test rig are versions of the store, as on the platform. The stand-in cuts an owner off by all fences up to the cut.

--- a/jobs/rows/rowstest/store.go
+++ b/jobs/rows/rowstest/store.go
@@ -71,6 +71,15 @@
 	return s.commits
 }
 
+// TakeVersion returns the version of a transaction that changes no row of the test, such as the
+// takeover that determines the fence of an owner.
+func (s *Store) TakeVersion() rows.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	return s.version
+}
+
 // DropHistory discards the history of changes, so that feeds from older versions fail.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"peridotcrank.dev/jobs/worker"
@@ -84,12 +85,39 @@
 	w.trace = traceAfterRestart(former)
 	w.registered, w.accountedFor, w.vacateUntil = former.registered, former.accountedFor, former.vacateUntil
 	w.restarted, w.rowQueued = true, true
+	w.fence, w.formerFence = former.fence, former.fence
+	s.raiseFence(w)
 	s.journal.workerRows = append(s.journal.workerRows, w)
 	s.moveUncertainRuns(former, w)
 	s.stopUnansweredStarts(w, former)
 	return w
 }
 
+// Each incarnation of a worker gets orders with a fence of its own, so that it refuses the orders
+// for the former one that are carried out late: an acknowledgement or a renewal of the lease
+// names no incarnation.
+
+// raiseFence gives the incarnation of a restarted worker the version of the last transaction as its
+// fence, once that is higher than the fence of the former one. This process owned the
+// shard when the transaction was applied, so the fence of the next owner is higher.
+func (s *Shard) raiseFence(w *workerState) {
+	if w.hasOwnFence() || !s.canAct() || s.journal.head <= w.formerFence {
+		return
+	}
+	w.fence = s.journal.head
+	s.requestStatus(w)
+}
+
+// hasOwnFence reports whether the orders to this incarnation have a higher fence than those to
+// the former one.
+func (w *workerState) hasOwnFence() bool { return w.fence > w.formerFence }
+
+// isSuperseded reports whether an order was refused because this owner has sent a higher fence to
+// the worker since.
+func (w *workerState) isSuperseded(fence uint64, err error) bool {
+	return errors.Is(err, worker.ErrFenced) && fence < w.fence
+}
+
 // moveUncertainRuns moves the runs that no status of the former incarnation listed, since
 // their orders may have reached the next one. The first status that it sends afterwards
 // decides. The other runs have ended with the former incarnation.
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -323,6 +323,7 @@
 	}
 	for _, w := range b.workerRows {
 		w.rowCommitted, w.rowQueued = true, false
+		s.raiseFence(w)
 	}
 	for w, number := range b.appliedEnds {
 		if number > w.lastCommittedEnd {
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -19,7 +19,7 @@
 	s.countRun(a, false)
 	leaseExpiry := max(w.minClockNow(now)+s.opts.LeaseDuration, w.maxLeaseExpiry)
 	w.maxLeaseExpiry = leaseExpiry
-	order := worker.Start{Task: a.ref, Run: run, Spec: t.step.job.job.Spec, LeaseExpiry: leaseExpiry, Fence: s.opts.Fence, SavedCheckpoint: t.checkpoint, Ticket: t.step.ticketFor(w, now)}
+	order := worker.Start{Task: a.ref, Run: run, Spec: t.step.job.job.Spec, LeaseExpiry: leaseExpiry, Fence: w.fence, SavedCheckpoint: t.checkpoint, Ticket: t.step.ticketFor(w, now)}
 	t.step.job.started = true
 	s.addUnansweredStart(a, now)
 	s.starts.begin()
@@ -28,12 +28,12 @@
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		clock, err := s.opts.Workers.Start(ctx, to, order)
-		s.opts.Loop.Post(func() { s.handleStartReply(a, clock, err) })
+		s.opts.Loop.Post(func() { s.handleStartReply(a, order.Fence, clock, err) })
 	}()
 	return a
 }
 
-func (s *Shard) handleStartReply(a *attempt, clock worker.ClockTime, err error) {
+func (s *Shard) handleStartReply(a *attempt, fence uint64, clock worker.ClockTime, err error) {
 	s.endStartOrder(s.opts.Clock() - a.startedAt)
 	if err == nil || worker.Refused(err) {
 		delete(s.unansweredStarts[a.worker.info.ID], a.key())
@@ -58,7 +58,7 @@
 		return // The stop order determines whether the run exists.
 	}
 	if worker.Refused(err) {
-		s.handleStartRefusal(a, err)
+		s.handleStartRefusal(a, fence, err)
 		return
 	}
 	s.recordEvent(eventlog.StartUnanswered, eventlog.Fields{"task": a.ref.String(), "run": a.run, "worker": a.worker.info.ID, "error": err})
@@ -101,11 +101,13 @@
 }
 
 // handleStartRefusal removes an attempt that the worker refused to run.
-func (s *Shard) handleStartRefusal(a *attempt, err error) {
+func (s *Shard) handleStartRefusal(a *attempt, fence uint64, err error) {
 	now := s.opts.Clock()
 	s.recordEvent(eventlog.StartRefused, eventlog.Fields{"task": a.ref.String(), "run": a.run, "worker": a.worker.info.ID, "error": err})
 	s.removeAttempt(a)
 	switch {
+	case a.worker.isSuperseded(fence, err):
+		// The next start uses the fence of the worker's incarnation.
 	case errors.Is(err, worker.ErrFenced):
 		s.relinquish("a worker has seen a higher fence")
 		return
@@ -153,16 +155,16 @@
 		return // checkWorker repeats the stop.
 	}
 	a.stopInFlight, a.sentAt = true, s.opts.Clock()
-	to := a.worker.target()
+	to, fence := a.worker.target(), a.worker.fence
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
-		clock, err := s.opts.Workers.Stop(ctx, to, a.ref, a.run, s.opts.Fence)
-		s.opts.Loop.Post(func() { s.handleStopReply(a, clock, err) })
+		clock, err := s.opts.Workers.Stop(ctx, to, a.ref, a.run, fence)
+		s.opts.Loop.Post(func() { s.handleStopReply(a, fence, clock, err) })
 	}()
 }
 
-func (s *Shard) handleStopReply(a *attempt, clock worker.ClockTime, err error) {
+func (s *Shard) handleStopReply(a *attempt, fence uint64, clock worker.ClockTime, err error) {
 	a.stopInFlight = false
 	if s.stopped || a.worker.attempts[a.key()] != a {
 		return
@@ -172,6 +174,8 @@
 		a.answeredAt = s.nextLogicalTime()
 		a.worker.updateClock(clock, s.opts.Clock())
 		s.requestStatus(a.worker)
+	case a.worker.isSuperseded(fence, err):
+		// checkWorker repeats the stop.
 	case errors.Is(err, worker.ErrFenced):
 		s.relinquish("a worker has seen a higher fence")
 	case errors.Is(err, worker.ErrReplaced):
--- a/jobs/shard/pace.go
+++ b/jobs/shard/pace.go
@@ -87,11 +87,11 @@
 
 func (s *Shard) sendPace(a *attempt, percent int) {
 	a.paceInFlight = true
-	to := a.worker.target()
+	to, fence := a.worker.target(), a.worker.fence
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
-		err := s.opts.Workers.Pace(ctx, to, a.ref, a.run, percent, s.opts.Fence)
+		err := s.opts.Workers.Pace(ctx, to, a.ref, a.run, percent, fence)
 		s.opts.Loop.Post(func() {
 			a.paceInFlight = false
 			if err == nil {
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -221,8 +221,11 @@
 	statusRequestedAt     time.Duration // When its status was last requested for a starting task.
 	knownSince            time.Duration // When this incarnation became known.
 	restarted             bool          // It may have carried out orders for the former incarnation.
-	used                  job.Resources
-	attempts              map[runKey]*attempt
+	// fence is the fencing token of orders to this incarnation, and formerFence that of orders to
+	// the former one; formerFence is 0 if this owner has sent none.
+	fence, formerFence uint64
+	used               job.Resources
+	attempts           map[runKey]*attempt
 
 	clock          worker.ClockTime // Last reading of the worker's clock.
 	clockReadAt    time.Duration    // When that reading arrived, on the shard's clock.
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -70,7 +70,7 @@
 // queries the worker. A worker that has never replied gets no tasks and no row: later owners
 // would wait for it.
 func (s *Shard) queueWorkerRow(w *workerState) {
-	if w.rowCommitted || w.rowQueued || w.clock == 0 || s.opts.Clock() < w.vacateUntil {
+	if w.rowCommitted && w.hasOwnFence() || w.rowQueued || w.clock == 0 || s.opts.Clock() < w.vacateUntil {
 		return
 	}
 	w.rowQueued = true
@@ -96,7 +96,7 @@
 }
 
 func (s *Shard) addWorker(info worker.Info) *workerState {
-	w := &workerState{info: info, knownSince: s.opts.Clock(), attempts: map[runKey]*attempt{}, pace: fullPace, doubtful: true}
+	w := &workerState{info: info, knownSince: s.opts.Clock(), fence: s.opts.Fence, attempts: map[runKey]*attempt{}, pace: fullPace, doubtful: true}
 	s.workers[info.ID] = w
 	return w
 }
@@ -167,7 +167,7 @@
 		return // When the commit in flight completes, it sends a hold that acknowledges the ends.
 	}
 	confirm := w.lastCommittedEnd > w.ackedEnd && s.mayHaveUnseenEnds(w, now)
-	order := worker.Hold{Fence: s.opts.Fence}
+	order := worker.Hold{Fence: w.fence}
 	// A worker that did not reply is queried without renewing its lease and without an
 	// acknowledgement. It might receive the renewal although its reply is lost, which would
 	// delay the restart of its tasks on other workers, and it might have restarted.
@@ -178,7 +178,10 @@
 			w.confirmedAt = now
 		} else {
 			order.Wait = s.holdWait(w)
-			order.AckedUpTo = w.acknowledgeUpTo()
+			if order.AckedUpTo = w.acknowledgeUpTo(); order.AckedUpTo > 0 {
+				// Until its reply is missing, a restart of the worker may be unknown.
+				order.Wait = min(order.Wait, holdWait)
+			}
 		}
 	}
 	w.holdInFlight, w.holdSentAt = true, now
@@ -191,7 +194,7 @@
 			if err == nil {
 				w.ackedEnd = max(w.ackedEnd, order.AckedUpTo)
 			}
-			s.handleHoldReply(w, sent, reply, err)
+			s.handleHoldReply(w, sent, order.Fence, reply, err)
 		})
 	}()
 }
@@ -253,7 +256,7 @@
 	if !s.canAct() || s.workers[w.info.ID] != w {
 		return false
 	}
-	sent, to, order := s.nextLogicalTime(), w.target(), worker.Hold{Fence: s.opts.Fence}
+	sent, to, order := s.nextLogicalTime(), w.target(), worker.Hold{Fence: w.fence}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
@@ -271,13 +274,13 @@
 }
 
 // handleHoldReply applies the reply to a hold and sends the next one.
-func (s *Shard) handleHoldReply(w *workerState, sent logicalTime, reply statusReply, err error) {
+func (s *Shard) handleHoldReply(w *workerState, sent logicalTime, fence uint64, reply statusReply, err error) {
 	w.holdInFlight, w.holdRepliedAt = false, s.opts.Clock()
 	if s.stopped || s.workers[w.info.ID] != w {
 		return
 	}
 	if err != nil {
-		s.handleHoldError(w, err)
+		s.handleHoldError(w, fence, err)
 		return
 	}
 	w.failedHolds = 0
@@ -311,8 +314,11 @@
 
 // handleHoldError repeats a failed hold after holdRetryDelay. It relinquishes the
 // shard if the worker has seen a newer owner, and removes a worker that was replaced.
-func (s *Shard) handleHoldError(w *workerState, err error) {
+func (s *Shard) handleHoldError(w *workerState, fence uint64, err error) {
 	switch {
+	case w.isSuperseded(fence, err):
+		s.sendHold(w)
+		return
 	case errors.Is(err, worker.ErrFenced):
 		s.relinquish("a worker has seen a higher fence")
 		return
@@ -358,7 +364,7 @@
 // canReceiveTasks reports whether a worker is allowed to get new tasks.
 func (s *Shard) canReceiveTasks(w *workerState, now time.Duration) bool {
 	switch {
-	case !w.hasCurrentEntry() || !w.rowCommitted || !w.accountedFor || w.clock == 0:
+	case !w.hasCurrentEntry() || !w.rowCommitted || !w.accountedFor || w.clock == 0 || !w.hasOwnFence():
 		return false
 	case w.info.State != worker.Ready || w.failedHolds > 0:
 		return false
