A next owner waits for the longest lease of a worker whose restart was known

A task could start on another worker while its run on a restarted worker went on (two runs at the same time). A start that names a time on the former clock gives the next incarnation its longest lease. The owner waited for it; a next owner did so only if the stored row named the former incarnation. Once the restart was known, the row named the new one, and the head row the usual lease.

The head row now tells the longest lease that a worker may still have, also the one that this owner has inherited. TestTakeoverAwaitsLongestLeaseOfKnownRestart (one takeover and two) failed before with a run beside another one. No longer wait where no worker has restarted lately.

--- a/jobs/shard/incarnation_test.go
+++ b/jobs/shard/incarnation_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -302,6 +303,29 @@
 	})
 }
 
+// Guards against the same if the former owner knew of the restart, and in a second takeover soon after.
+func TestTakeoverAwaitsLongestLeaseOfKnownRestart(t *testing.T) {
+	for _, takeovers := range []int{1, 2} {
+		t.Run(fmt.Sprint(takeovers), func(t *testing.T) {
+			onFakeTime(t, func(r *rig) {
+				o, restarted := silentRestartRig(r)
+				r.setRegistryEntry(o, 0, restarted)
+				time.Sleep(200 * time.Millisecond) // The row of the new incarnation is stored.
+				r.fleet.SetPartitioned("w0", true)
+				r.workerInfos[0] = restarted
+				for range takeovers {
+					o.callOnLoop(o.Stop)
+					o = r.startOwner()
+					time.Sleep(200 * time.Millisecond)
+					assert.Equal(t, r.submit(o, simpleJob(1+len(r.owners), 1)).Code, OK)
+				}
+				time.Sleep(4 * testLease)
+				assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testJobID(1)}), 2, "the task was not started again")
+			})
+		})
+	}
+}
+
 // Guards against a second run while an unanswered start may still reach the new incarnation of its worker.
 func TestUnansweredStartIsAwaitedAfterRestart(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -134,7 +134,7 @@
 func (s *Shard) buildBatch() (*batch, error) {
 	j := &s.journal
 	b := &batch{sequence: j.sequence + 1, appliedEnds: map[*workerState]uint64{}}
-	head := &jobpb.Head{Owner: s.opts.Owner, Sequence: b.sequence, Generation: j.generation, HoldMs: s.opts.LeaseDuration.Milliseconds(), Fence: s.opts.Fence}
+	head := &jobpb.Head{Owner: s.opts.Owner, Sequence: b.sequence, Generation: j.generation, HoldMs: s.longestLease(s.opts.Clock()).Milliseconds(), Fence: s.opts.Fence}
 	if err := b.setRow(s.headKey(), head); err != nil {
 		return nil, err
 	}
@@ -439,6 +439,26 @@
 	return next, result.Version, nil
 }
 
+// longestLease returns the longest lease that a worker may have from this owner or from a former
+// one. The next owner waits for it before it gives up the runs of a silent worker.
+func (s *Shard) longestLease(now time.Duration) time.Duration {
+	longest := s.opts.LeaseDuration
+	if now < s.inheritedLeasesEnd(s.inheritedLease) {
+		longest = max(longest, s.inheritedLease)
+	}
+	for _, w := range s.workers {
+		if w.restarted && (w.clock == 0 || now <= w.leaseExpiry()) {
+			longest = max(longest, s.maxLease())
+		}
+	}
+	return longest
+}
+
+// inheritedLeasesEnd returns when leases of the given duration from former owners have expired.
+func (s *Shard) inheritedLeasesEnd(lease time.Duration) time.Duration {
+	return s.ownerSince + time.Duration(float64(lease)/minClockRate) + leaseMargin
+}
+
 // handleClaimResult activates the shard with the loaded rows, or repeats a failed
 // claim unless the head row belongs to a newer owner.
 func (s *Shard) handleClaimResult(head *jobpb.Head, version rows.Version, loaded *snapshot, err error) {
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -346,7 +346,7 @@
 		s.confirmLeaseExpiry(w)
 	}
 	s.removeEndedRuns(w, now)
-	if !w.accountedFor && w.failedHolds >= minUnansweredHolds && now > s.ownerSince+time.Duration(float64(s.inheritedLeaseOf(w))/minClockRate)+leaseMargin {
+	if !w.accountedFor && w.failedHolds >= minUnansweredHolds && now > s.inheritedLeasesEnd(s.inheritedLeaseOf(w)) {
 		s.recordWaitExpired(w, now)
 		s.markAccountedFor(w)
 	}
