Simulated workers: a hold without a reply may be executed by the next incarnation

PROTOCOL.md: a call that receives no response may be executed seconds later; after a crash a worker has seen no fencing token. Until now the simulated workers never let a delayed hold reach a later incarnation. With DeliverToNewIncarnation it now does: it renews the lease, acknowledges ends by their numbers and sets the fence, unless that incarnation has seen a higher one. A restart with broken connections now also ends the wait of calls that get no reply, as the comment on Restart says. Holds can have faults of their own (SetHoldFault), and the delay can be drawn (SetDelay).

--- a/jobs/shard/random_test.go
+++ b/jobs/shard/random_test.go
@@ -78,6 +78,7 @@
 	*rig
 	rng        *rand.Rand
 	owner      *owner
+	jobs       int // Number of jobs that are submitted.
 	accepted   map[int]bool
 	refused    map[int]bool
 	storeFault rowstest.Fault // Applies to a third of the commits.
@@ -96,7 +97,7 @@
 func runRandomFaults(r *rig, rng *rand.Rand) { newFaultRun(r, rng).run() }
 
 func newFaultRun(r *rig, rng *rand.Rand) *faultRun {
-	return &faultRun{rig: r, rng: rng, accepted: map[int]bool{}, refused: map[int]bool{}}
+	return &faultRun{rig: r, rng: rng, jobs: randomJobs, accepted: map[int]bool{}, refused: map[int]bool{}}
 }
 
 func (x *faultRun) run() {
@@ -112,7 +113,7 @@
 	}
 	x.owner = r.startOwner()
 	time.Sleep(time.Second)
-	for n := range randomJobs {
+	for n := range x.jobs {
 		x.submitJob(n)
 		x.wait(time.Duration(rng.IntN(400)) * time.Millisecond)
 		if x.lateRestarts && rng.IntN(6) == 0 {
@@ -225,6 +226,11 @@
 	} else {
 		x.fleet.Restart(info)
 	}
+	x.listLater(info)
+}
+
+// listLater lists the entry of a worker in the registry after a random time.
+func (x *faultRun) listLater(info worker.Info) {
 	lag := time.Duration(x.rng.Int64N(int64(maxRegistryLag)))
 	x.lateEntries = append(x.lateEntries, lateEntry{time.Now().Add(lag), info})
 	slices.SortStableFunc(x.lateEntries, func(a, b lateEntry) int { return a.at.Compare(b.at) })
@@ -263,7 +269,7 @@
 	}
 	assert.Assert(x.t, !x.owner.lost.Load(), "the last owner relinquished the shard")
 	deadline := time.Now().Add(completionTimeout)
-	for n := range randomJobs {
+	for n := range x.jobs {
 		for x.accepted[n] && x.lookup(x.owner, n).State != job.Completed {
 			if time.Now().After(deadline) {
 				x.t.Fatalf("job %d was accepted but did not complete: %+v", n, x.lookup(x.owner, n))
--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -21,8 +21,8 @@
 	MaxLease time.Duration
 
 	// DeliverToNewIncarnation lets delayed orders reach a later incarnation of the
-	// worker. Holds never do, because they would acknowledge ended runs of that
-	// incarnation.
+	// worker. A hold renews its lease, acknowledges its ended runs by their numbers and
+	// sets its fence, unless it has seen a higher one.
 	DeliverToNewIncarnation bool
 
 	// AllowSpeculativeRuns permits several runs of a task at the same time.
@@ -35,6 +35,8 @@
 	planRun         func(task job.TaskRef, run int) RunPlan
 	planRunOnWorker func(id worker.ID, task job.TaskRef) RunPlan
 	chooseFault     func(id worker.ID, order string) Fault
+	chooseHoldFault func(worker.ID, worker.Hold) Fault
+	chooseDelay     func(id worker.ID, order string) time.Duration
 	replyDelay      func(worker.ID) time.Duration
 	createdAt       time.Time
 	workers         map[worker.ID]*simulatedWorker
@@ -50,9 +52,10 @@
 	info        worker.Info
 	startedAt   time.Duration
 	partitioned bool
-	terminated  bool   // A new incarnation exists, or the worker was killed.
-	callsBroken bool   // Calls in flight fail at once, instead of waiting for their timeout.
-	reportedTo  uint64 // Highest fence of a hold whose status has arrived.
+	terminated  bool          // A new incarnation exists, or the worker was killed.
+	callsBroken bool          // Calls in flight fail at once, instead of waiting for their timeout.
+	broken      chan struct{} // Closed when callsBroken is set.
+	reportedTo  uint64        // Highest fence of a hold whose status has arrived.
 	former      *simulatedWorker
 	fence       uint64
 	leaseExpiry time.Duration
@@ -86,12 +89,12 @@
 	old := f.workers[info.ID]
 	f.workers[info.ID] = &simulatedWorker{
 		info: info, runs: map[job.TaskRef]*run{}, highestRun: map[job.TaskRef]int{}, startedAt: f.now(), former: old,
+		broken: make(chan struct{}),
 	}
 	if old != nil {
 		f.kill(old)
 		if breakCalls {
-			old.callsBroken = true
-			old.wakeHolds()
+			old.breakCalls()
 		}
 	}
 }
@@ -118,6 +121,22 @@
 	f.chooseFault = choose
 }
 
+// SetHoldFault sets the function that chooses the fault of each hold; nil for none. A hold
+// for which it returns [NoFault] has the fault that the function of SetFault chooses.
+func (f *Fleet) SetHoldFault(choose func(worker.ID, worker.Hold) Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chooseHoldFault = choose
+}
+
+// SetDelay sets the function that returns the time until a delayed order is executed; nil
+// for Delay.
+func (f *Fleet) SetDelay(delay func(id worker.ID, order string) time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chooseDelay = delay
+}
+
 // SetReplyDelay sets the function that returns how long the replies to the holds of a
 // worker are on their way; nil for no delay.
 func (f *Fleet) SetReplyDelay(delay func(worker.ID) time.Duration) {
--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -40,39 +40,87 @@
 // worker's clock.
 func (f *Fleet) deliver(ctx context.Context, to worker.Target, name string, order func(*simulatedWorker) error) (worker.ClockTime, error) {
 	f.mu.Lock()
-	fault := NoFault
-	if f.chooseFault != nil {
-		fault = f.chooseFault(to.ID, name)
-	}
+	return f.deliverLocked(ctx, to, name, f.faultOf(to.ID, name), order)
+}
+
+// deliverLocked is deliver with a given fault. The caller holds the lock, which
+// deliverLocked releases.
+func (f *Fleet) deliverLocked(ctx context.Context, to worker.Target, name string, fault Fault, order func(*simulatedWorker) error) (worker.ClockTime, error) {
 	w := f.workers[to.ID]
 	unreachable := w == nil || w.partitioned || fault == RequestLost
 	if fault == Delayed && !unreachable {
-		time.AfterFunc(cmp.Or(f.Delay, defaultDelay), func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			reached := f.workers[to.ID]
-			if reached.partitioned || reached != w && (!f.DeliverToNewIncarnation || name == "hold") {
-				return
-			}
-			f.orderIsLate = true
-			_ = order(reached) // Nobody waits for the reply.
-			f.orderIsLate = false
-		})
-	}
-	if unreachable || fault == Delayed {
+		time.AfterFunc(f.delayOf(to.ID, name), func() { f.executeLate(w, order) })
+	}
+	if unreachable {
 		f.mu.Unlock()
 		<-ctx.Done()
 		return 0, ErrNoReply
 	}
+	if fault == Delayed {
+		f.mu.Unlock()
+		return 0, w.awaitNoReply(ctx)
+	}
 	clock, err := f.clock(w), order(w)
 	f.mu.Unlock()
 	if fault == ResponseLost {
-		<-ctx.Done()
-		return 0, ErrNoReply
+		return 0, w.awaitNoReply(ctx)
 	}
 	return clock, err
 }
 
+// executeLate executes a delayed order, which was sent to a worker, on the incarnation that
+// is up now.
+func (f *Fleet) executeLate(sentTo *simulatedWorker, order func(*simulatedWorker) error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reached := f.workers[sentTo.info.ID]
+	if reached.partitioned || reached != sentTo && !f.DeliverToNewIncarnation {
+		return
+	}
+	f.orderIsLate = true
+	_ = order(reached) // Nobody waits for the reply.
+	f.orderIsLate = false
+}
+
+// awaitNoReply waits until a call without a reply times out or its connection breaks.
+func (w *simulatedWorker) awaitNoReply(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-w.broken:
+	}
+	return ErrNoReply
+}
+
+// breakCalls breaks the connections of the calls in flight to a worker.
+func (w *simulatedWorker) breakCalls() {
+	w.callsBroken = true
+	close(w.broken)
+	w.wakeHolds()
+}
+
+func (f *Fleet) faultOf(id worker.ID, order string) Fault {
+	if f.chooseFault == nil {
+		return NoFault
+	}
+	return f.chooseFault(id, order)
+}
+
+func (f *Fleet) faultOfHold(id worker.ID, hold worker.Hold) Fault {
+	if f.chooseHoldFault != nil {
+		if fault := f.chooseHoldFault(id, hold); fault != NoFault {
+			return fault
+		}
+	}
+	return f.faultOf(id, "hold")
+}
+
+func (f *Fleet) delayOf(id worker.ID, order string) time.Duration {
+	if f.chooseDelay != nil {
+		return f.chooseDelay(id, order)
+	}
+	return cmp.Or(f.Delay, defaultDelay)
+}
+
 // Start implements [worker.Client].
 func (f *Fleet) Start(ctx context.Context, to worker.Target, order worker.Start) (worker.ClockTime, error) {
 	return f.deliver(ctx, to, "start", func(w *simulatedWorker) error { return f.startRun(w, order) })
@@ -98,7 +146,8 @@
 func (f *Fleet) Hold(ctx context.Context, to worker.Target, hold worker.Hold) (worker.Status, error) {
 	var w *simulatedWorker
 	var changed <-chan struct{}
-	_, err := f.deliver(ctx, to, "hold", func(found *simulatedWorker) error {
+	f.mu.Lock()
+	_, err := f.deliverLocked(ctx, to, "hold", f.faultOfHold(to.ID, hold), func(found *simulatedWorker) error {
 		w = found
 		if hold.Fence < w.fence {
 			return worker.ErrFenced
