Relay test: late replies do not reach other calls

Each call has a stream of its own, so a reply that arrives after the timeout of its call cannot be taken for another one. No test showed this yet: TestRepliesReachTheirCallers has no calls that time out.

--- a/jobs/relay/relay_test.go
+++ b/jobs/relay/relay_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"net"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -53,6 +55,40 @@
 	group.Wait()
 }
 
+// Guards against a reply that arrives after the timeout of its call and is taken for the reply
+// to a later call to the same peer.
+func TestLateRepliesDoNotReachOtherCalls(t *testing.T) {
+	const (
+		timeout = 50 * time.Millisecond
+		late    = 2 * timeout
+		rounds  = 10
+	)
+	address := listen(t, func(_ context.Context, r *jobpb.Request) *jobpb.Reply {
+		if strings.HasPrefix(r.Id, "late") {
+			time.Sleep(late)
+		}
+		return &jobpb.Reply{Code: jobpb.Code_CODE_OK, Detail: r.Id}
+	})
+	c := NewClient()
+	var group sync.WaitGroup
+	for i := range 20 {
+		group.Go(func() {
+			for round := range rounds {
+				if i%2 == 0 {
+					_, err := call(t, c, address, fmt.Sprintf("late %d %d", i, round), timeout)
+					assert.Check(t, err != nil && !errors.Is(err, ErrNotSent), "%v", err)
+					continue
+				}
+				id := fmt.Sprintf("call %d %d", i, round)
+				reply, err := call(t, c, address, id, longTimeout)
+				assert.Check(t, err == nil && reply.Detail == id, "call %s: %v, %v", id, reply, err)
+				time.Sleep(timeout)
+			}
+		})
+	}
+	group.Wait()
+}
+
 // Guards against a call that is reported as not sent although the peer may have received it.
 func TestCallsWithoutReplyAreNotReportedAsUnsent(t *testing.T) {
 	release := make(chan struct{})
