--- a/jobs/rows/rowstest/store.go
+++ b/jobs/rows/rowstest/store.go
@@ -198,6 +198,14 @@
 	return ErrNoReply
 }
 
+// Row returns a row as it is now, without latency or faults.
+func (s *Store) Row(key rows.Key) (row rows.Row, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, ok = s.rows[key]
+	return row, ok
+}
+
 // Put writes a row unconditionally and without faults, as the platform or its operator do.
 func (s *Store) Put(row rows.Row) {
 	s.apply(rows.Tx{Set: []rows.Row{row}})
--- a/jobs/shard/rig_test.go
+++ b/jobs/shard/rig_test.go
@@ -44,7 +44,9 @@
 	// learned enables learned durations.
 	learned bool
 
-	store       *rowstest.Store
+	store *rowstest.Store
+	// ownerStore is the store of owners started from then on; nil for store itself.
+	ownerStore  rows.Store
 	fleet       *workertest.Fleet
 	workerInfos []worker.Info
 	startedAt   time.Time
@@ -159,10 +161,14 @@
 	if r.client != nil {
 		client = r.client
 	}
+	var store rows.Store = r.store
+	if r.ownerStore != nil {
+		store = r.ownerStore
+	}
 	s, err := New(Options{
 		Pool: pool, Owner: fmt.Sprintf("owner-%d", r.fence), Fence: r.fence,
 		LeaseDuration: testLease, MaxLease: r.fleet.MaxLease, KeepEnded: 10 * time.Minute, StopTime: testStopTime,
-		Store: r.store, Workers: client, Adviser: r.adviser, Loop: o.loop, Recorder: r.recorder,
+		Store: store, Workers: client, Adviser: r.adviser, Loop: o.loop, Recorder: r.recorder,
 		OwnsShard: o.ownsShard.Load, OnLost: func() { o.lost.Store(true) },
 		Clock:            func() time.Duration { return time.Since(r.startedAt) + time.Second },
 		LearnedDurations: r.learned, AttemptRecords: r.attemptRecords,
--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -25,6 +25,10 @@
 	// sets its fence, unless it has seen a higher one.
 	DeliverToNewIncarnation bool
 
+	// OnAcknowledge is called with each end of a run that a hold acknowledges, under the
+	// lock of the fleet. Nil for no calls.
+	OnAcknowledge func(worker.ID, worker.RunEnd)
+
 	// AllowSpeculativeRuns permits several runs of a task at the same time.
 	AllowSpeculativeRuns bool
 
--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -207,6 +207,9 @@
 
 func (f *Fleet) acknowledge(w *simulatedWorker, upTo uint64) {
 	for len(w.endedRuns) > 0 && w.endedRuns[0].Number <= upTo {
+		if f.OnAcknowledge != nil {
+			f.OnAcknowledge(w.info.ID, w.endedRuns[0])
+		}
 		w.endedRuns = w.endedRuns[1:]
 	}
 	w.acked = max(w.acked, upTo)
