Tests: an end that a worker has listed counts as taken note of, also for an owner that is late

The simulated workers took note of an end only by its acknowledgement, so no test showed an owner that misses the replies in which ends are listed and starts the tasks again. With Fleet.NoteListedEnds an end counts as taken note of 100 ms after its worker has sent a status that lists it, unless the lease has lapsed or the worker is cut off or terminated by then.

--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -28,6 +28,11 @@
 	// AllowSpeculativeRuns permits several runs of a task at the same time.
 	AllowSpeculativeRuns bool
 
+	// NoteListedEnds lets an end count as acknowledged listedEndNoted after a worker has
+	// listed it in a status that it sent, unless it is void or the worker is cut off or
+	// terminated by then. It does not matter whether the owner has handled the status.
+	NoteListedEnds bool
+
 	mu              sync.Mutex
 	acceptTicket    func(worker.ID, worker.Start) bool
 	reservedBy      func(job.TaskRef) job.Resources // nil disables the check of capacities.
--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -165,10 +165,7 @@
 		if end.worker != w || end.acked || end.void || end.number > upTo {
 			continue
 		}
-		end.acked = true
-		if end.startedAfter != "" {
-			f.recordViolation("%s", end.startedAfter)
-		}
+		f.noteDone(end)
 	}
 }
 
@@ -186,6 +183,9 @@
 	}
 	listed := w.endedRuns[:min(len(w.endedRuns), maxListedEnds)]
 	status := worker.Status{ClockTime: f.clock(w), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: slices.Clone(listed)}
+	if f.NoteListedEnds {
+		f.noteListedEnds(w, status.EndedRuns)
+	}
 	for _, r := range w.runs {
 		status.Running = append(status.Running, worker.RunningTask{Task: r.task, Run: r.number, Percent: f.percent(r)})
 	}
--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -15,12 +15,17 @@
 	Fails    bool
 }
 
+// listedEndNoted is the time after which an end that a worker has listed counts as
+// acknowledged, see [Fleet.NoteListedEnds].
+const listedEndNoted = 100 * time.Millisecond
+
 // doneRunEnd records that a run ended as done. It becomes void when the worker's lease
 // expires before the end is acknowledged: the task may then be started again.
 type doneRunEnd struct {
 	worker *simulatedWorker
 	number uint64
-	acked  bool
+	listed bool // In a status that the worker has sent.
+	acked  bool // Or noted, see [Fleet.NoteListedEnds].
 	void   bool
 	// startedAfter describes a later start of the task. It violates a guarantee if
 	// the end is acknowledged.
@@ -42,6 +47,33 @@
 	}
 }
 
+// noteDone marks an end as acknowledged. A start of its task since then violates a guarantee.
+func (f *Fleet) noteDone(end *doneRunEnd) {
+	end.acked = true
+	if end.startedAfter != "" {
+		f.recordViolation("%s", end.startedAfter)
+	}
+}
+
+// noteListedEnds marks the ends in a status that a worker sends as acknowledged after
+// listedEndNoted.
+func (f *Fleet) noteListedEnds(w *simulatedWorker, ends []worker.RunEnd) {
+	for _, listed := range ends {
+		end := f.done[listed.Task]
+		if end == nil || end.worker != w || end.number != listed.Number || end.listed {
+			continue
+		}
+		end.listed = true
+		time.AfterFunc(listedEndNoted, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if !end.acked && !end.void && !w.partitioned && !w.terminated {
+				f.noteDone(end)
+			}
+		})
+	}
+}
+
 func (f *Fleet) startRun(w *simulatedWorker, order worker.Start) error {
 	switch {
 	case order.Fence < w.fence:
