An owner that is late does not give up the runs of sound workers

Callers saw tasks that start again after their ends had been taken note of. An owner without enough processor time missed the replies in which workers listed ends, because each had a time limit of 0.4 or 0.6 s. Once the leases had expired by its own clock, or a takeover had waited for the inherited ones, it took the workers for terminated and started their tasks on others.

The reply to a hold is now awaited for 3 s beyond its wait and applied, although the hold counts as failed after 0.6 s; the worker's lease is then renewed at once. A run is given up without a reply only if its worker has left all queries of 2 s without one, while the periodic checks of this process were at most 500 ms late and most queries to other workers were answered within 400 ms. If no other worker can be queried, the store is; alone, it is evidence only against the pool's only worker or one that the registry has dropped. The check begins before the lease expires, so that it ends 0.4 s after it as before. It covers the lease, the wait for the leases of former owners and a restarted worker without a reply. Event 4599 worker-silence-unproven; the events worker-lease-passed and worker-wait-expired have the evidence.

The evidence alone passes the other tests, but lets the leases lapse. A query after the expiry with a limit of 2 s would make each restart after a real cut 1.6 s later.

A test passes the new type of the call to handleHoldReply; what it checks is unchanged.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -124,6 +124,8 @@
 	HeadClaimed        Code = 4596
 	WorkerOverCapacity Code = 4597
 	StartsLimited      Code = 4598
+
+	WorkerSilenceUnproven Code = 4599
 )
 
 // Codes of the store, 5000 to 5999.
@@ -313,6 +315,7 @@
 	{HeadClaimed, "head-claimed", LevelInfo, "This process claimed the head row of a shard; the fields name the former owner and its last transaction."},
 	{WorkerOverCapacity, "worker-over-capacity", LevelWarning, "The runs that execute on a worker need more than its capacity."},
 	{StartsLimited, "starts-limited", LevelInfo, "Replies to start orders are late, so the owner of a shard has fewer of them in flight."},
+	{WorkerSilenceUnproven, "worker-silence-unproven", LevelWarning, "A worker does not reply, but replies to this process are late in general; the worker's runs are not given up. At most one line a second for each shard."},
 
 	{StoreReachable, "store-reachable", LevelInfo, "The table service answers again."},
 	{StoreUnreachable, "store-unreachable", LevelAlarm, "The table service does not answer; nothing can be changed, requests are served."},
--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -124,7 +124,7 @@
 // they can no longer execute. A start that it has answered may have given it its longest
 // lease, since the order named a time on the clock of the former incarnation.
 func (s *Shard) removeEndedRuns(w *workerState, now time.Duration) {
-	if w.failedHolds == 0 || w.clock > 0 {
+	if !w.neverReplied() {
 		return
 	}
 	answeredRunsEnd, unansweredRunsEnd := s.formerOrdersEnd(w)
@@ -137,6 +137,11 @@
 	s.removeRuns(w, ended, neverAnswered, nil)
 }
 
+// neverReplied reports whether a worker with runs has left all calls without a reply.
+func (w *workerState) neverReplied() bool {
+	return w.failedHolds > 0 && w.clock == 0 && len(w.attempts) > 0
+}
+
 // formerOrdersEnd returns when the runs of starts for the former incarnation of a worker can
 // no longer execute: those with an answer, and those without one.
 func (s *Shard) formerOrdersEnd(w *workerState) (answered, unanswered time.Duration) {
--- a/jobs/shard/incarnation_test.go
+++ b/jobs/shard/incarnation_test.go
@@ -150,7 +150,9 @@
 		assert.Equal(t, r.submit(o, simpleJob(1, 4)).Code, OK)
 		time.Sleep(100 * time.Millisecond)
 		assert.Equal(t, r.fleet.Running(), 4)
-		o.callOnLoop(func() { o.handleHoldReply(former, sent, statusReply{Status: status, requestedAt: o.opts.Clock()}, nil) })
+		o.callOnLoop(func() {
+			o.handleHoldReply(former, &holdCall{sent: sent}, statusReply{Status: status, requestedAt: o.opts.Clock()}, nil)
+		})
 		r.setRegistryEntry(o, 0, restarted)
 		r.awaitState(o, 1, job.Completed, 10*time.Second)
 	})
--- a/jobs/shard/learning.go
+++ b/jobs/shard/learning.go
@@ -138,7 +138,7 @@
 // may have happened. A hold that waits for an end reports it without delay.
 func (s *Shard) noteStatus(w *workerState, clock worker.ClockTime) {
 	now := s.opts.Clock()
-	waiting := (w.holdInFlight || now-w.holdRepliedAt < minWatchTime) && now-w.holdSentAt > minWatchTime
+	waiting := (w.holdInFlight != nil || now-w.holdRepliedAt < minWatchTime) && now-w.holdSentAt > minWatchTime
 	w.endWindow = clock - w.lastStatusClock
 	if waiting && !s.pausedSince(w.lastStatusAt, now) {
 		w.endWindow = 0
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -118,9 +118,8 @@
 	// orderTimeout is many times the time that a worker takes to reply to an order.
 	orderTimeout    = 400 * time.Millisecond
 	orderRetryDelay = 250 * time.Millisecond
-	// maxProcessDelay bounds how long after its timeout this process may handle a
-	// missing reply. If it takes longer, the process itself was stalled, and the
-	// silence of a worker proves nothing.
+	// maxProcessDelay bounds how late this process may run its periodic checks. If they are
+	// later, the process itself was stalled, and the silence of a worker proves nothing.
 	maxProcessDelay = 500 * time.Millisecond
 	// maxOrderDelay is the longest time after which an unanswered order may still be
 	// carried out.
@@ -131,6 +130,9 @@
 	holdWaitIdle   = 2 * time.Second
 	holdTimeout    = 600 * time.Millisecond // In addition to the wait.
 	holdRetryDelay = 200 * time.Millisecond
+	// lateReplyLimit bounds the time, in addition to the wait, in which the reply to a hold is
+	// awaited and applied although it is late.
+	lateReplyLimit = 3 * time.Second
 	// maxRenewalInterval is the time since the last hold after which a lease is renewed
 	// even if the ends of runs are not committed yet.
 	maxRenewalInterval = 700 * time.Millisecond
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -50,6 +50,7 @@
 	placementNeeded    bool // Something has changed since the last placement pass.
 	adviceCalls        int  // Advice requests in flight.
 	starts             startWindow
+	replies            replyMonitor
 	registry           []worker.Info
 	registryRead       bool // The registry was read since this process became the owner.
 	lastSweep          time.Duration
@@ -172,6 +173,7 @@
 	}
 	s.opts.Loop.After(tickInterval, s.runPeriodicChecks)
 	now := s.opts.Clock()
+	s.replies.noteTick(now)
 	s.tickLearning(now)
 	s.releaseDelayedSteps()
 	s.recordExcess(now)
@@ -179,6 +181,7 @@
 	for _, w := range s.workers {
 		s.checkWorker(w, now)
 	}
+	s.queryReferences(now)
 	s.removeExpiredRecords(now)
 	s.refuseUnsentJobs()
 	s.checkCaps(now)
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -217,7 +217,7 @@
 	accountedFor          bool          // It replied to this owner, or it does not reply and its leases from former owners have expired.
 	vacateUntil           time.Duration // It gets no new tasks until then.
 	maintenanceDueUntil   time.Duration // Its VM counts as due for maintenance until then.
-	confirmingLeaseExpiry bool          // A status query that confirms the expiry of its lease is in flight.
+	confirmingLeaseExpiry bool          // A check whether it is silent is in progress.
 	statusRequestedAt     time.Duration // When its status was last requested for a starting task.
 	knownSince            time.Duration // When this incarnation became known.
 	restarted             bool          // It may have carried out orders for the former incarnation.
@@ -233,7 +233,7 @@
 
 	lastAppliedEnd              uint64 // Number of the last end of a run that was applied.
 	lastCommittedEnd            uint64 // Number of the last end of a run whose effects are committed.
-	holdInFlight                bool
+	holdInFlight                *holdCall
 	holdSentAt                  time.Duration
 	failedHolds                 int // Consecutive holds without a reply.
 	backoffUntil                time.Duration
@@ -254,6 +254,7 @@
 	ackedEnd        uint64        // Number up to which the worker has confirmed an acknowledgement.
 	confirmedAt     time.Duration // When a hold without an acknowledgement was last sent to confirm the incarnation.
 	holdRepliedAt   time.Duration // When the last hold was answered.
+	repliedAt       time.Duration // When the last status arrived, however late.
 	// endWindow is how long before the clock of that status its ends may have happened.
 	endWindow time.Duration
 	// doubtful is set if the worker is slow or has not completed a run recently. It is
--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"maps"
 	"time"
 
 	"peridotcrank.dev/eventlog"
@@ -93,9 +94,11 @@
 }
 
 // recordWaitExpired records that a worker counts as accounted for without a reply.
-func (s *Shard) recordWaitExpired(w *workerState, now time.Duration) {
+func (s *Shard) recordWaitExpired(w *workerState, now time.Duration, e silenceEvidence) {
 	fields := s.workerFields(w)
+	maps.Copy(fields, e.fields())
 	fields["waited"], fields["registered"], fields["failed_holds"] = (now - s.ownerSince).String(), w.registered, w.failedHolds
+	fields["silent_workers"] = s.silentWorkers()
 	s.recordEvent(eventlog.WorkerWaitExpired, fields)
 }
 
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -160,7 +160,7 @@
 // ones.
 func (s *Shard) sendHold(w *workerState) {
 	now := s.opts.Clock()
-	if w.holdInFlight || !s.canAct() || s.workers[w.info.ID] != w {
+	if w.holdInFlight != nil || !s.canAct() || s.workers[w.info.ID] != w {
 		return
 	}
 	if w.lastAppliedEnd > w.lastCommittedEnd && now-w.holdSentAt < maxRenewalInterval {
@@ -181,17 +181,22 @@
 			order.AckedUpTo = w.acknowledgeUpTo()
 		}
 	}
-	w.holdInFlight, w.holdSentAt = true, now
-	sent, to := s.nextLogicalTime(), w.target()
+	call := &holdCall{sent: s.nextLogicalTime(), renews: order.LeaseExpiry > 0}
+	w.holdInFlight, w.holdSentAt = call, now
+	to := w.target()
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), order.Wait+holdTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), order.Wait+lateReplyLimit)
 		defer cancel()
+		late := time.AfterFunc(order.Wait+holdTimeout, func() {
+			s.opts.Loop.Post(func() { s.handleHoldReply(w, call, statusReply{}, errReplyLate) })
+		})
 		reply, err := s.request(ctx, to, order)
+		late.Stop()
 		s.opts.Loop.Post(func() {
 			if err == nil {
 				w.ackedEnd = max(w.ackedEnd, order.AckedUpTo)
 			}
-			s.handleHoldReply(w, sent, reply, err)
+			s.handleHoldReply(w, call, reply, err)
 		})
 	}()
 }
@@ -220,42 +225,17 @@
 
 // requestStatus requests a worker's status immediately, in addition to a hold that is
 // waiting for a run to end. If the request fails, the next hold reports it.
-func (s *Shard) requestStatus(w *workerState) { s.queryStatus(w, func(error) {}) }
-
-// confirmLeaseExpiry gives up the runs of a worker whose lease has expired, unless it
-// replies to one more query: the worker may seem silent only because this process got no
-// CPU time, and its status shows which runs have ended. If this process handles the
-// missing reply late, it draws no conclusion about the worker.
-func (s *Shard) confirmLeaseExpiry(w *workerState) {
-	if w.confirmingLeaseExpiry {
-		return
-	}
-	sent := s.opts.Clock()
-	w.confirmingLeaseExpiry = s.queryStatus(w, func(err error) {
-		w.confirmingLeaseExpiry = false
-		now := s.opts.Clock()
-		if err == nil || s.stopped || !w.leaseExpired(now) || now-sent > orderTimeout+maxProcessDelay {
-			return
-		}
-		ended := s.runsBeforeLeaseExpiry(w, now)
-		if len(ended) == 0 {
-			return
-		}
-		s.recordEvent(eventlog.WorkerLeasePassed, eventlog.Fields{"worker": w.info.ID, "runs": len(ended)})
-		s.removeRuns(w, ended, leaseExpired, nil)
-		s.schedulePlacement()
-	})
-}
+func (s *Shard) requestStatus(w *workerState) { s.queryStatus(w, orderTimeout, func(error) {}) }
 
 // queryStatus requests a worker's status, applies it and passes the outcome to done. It
 // returns false if the worker cannot be queried now.
-func (s *Shard) queryStatus(w *workerState, done func(error)) bool {
+func (s *Shard) queryStatus(w *workerState, timeout time.Duration, done func(error)) bool {
 	if !s.canAct() || s.workers[w.info.ID] != w {
 		return false
 	}
 	sent, to, order := s.nextLogicalTime(), w.target(), worker.Hold{Fence: s.opts.Fence}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		reply, err := s.request(ctx, to, order)
 		s.opts.Loop.Post(func() {
@@ -270,10 +250,23 @@
 	return true
 }
 
-// handleHoldReply applies the reply to a hold and sends the next one.
-func (s *Shard) handleHoldReply(w *workerState, sent logicalTime, reply statusReply, err error) {
-	w.holdInFlight, w.holdRepliedAt = false, s.opts.Clock()
-	if s.stopped || s.workers[w.info.ID] != w {
+// holdCall is a hold that was sent to a worker.
+type holdCall struct {
+	sent   logicalTime
+	renews bool // It renews the worker's lease.
+}
+
+// errReplyLate reports that a reply has not arrived in time. It may still arrive.
+var errReplyLate = errors.New("no reply in time")
+
+// handleHoldReply applies the reply to a hold, or its error, and sends the next one. A reply that
+// arrives after errReplyLate is applied as well, since it may be this process that is late.
+func (s *Shard) handleHoldReply(w *workerState, call *holdCall, reply statusReply, err error) {
+	late := w.holdInFlight != call
+	if !late {
+		w.holdInFlight, w.holdRepliedAt = nil, s.opts.Clock()
+	}
+	if s.stopped || s.workers[w.info.ID] != w || late && err != nil {
 		return
 	}
 	if err != nil {
@@ -281,13 +274,17 @@
 		return
 	}
 	w.failedHolds = 0
-	s.sendHold(s.handleStatus(w, sent, reply))
+	if late && w.holdInFlight != nil && !w.holdInFlight.renews {
+		w.holdInFlight = nil // The worker is up, so its lease is renewed at once.
+	}
+	s.sendHold(s.handleStatus(w, call.sent, reply))
 }
 
 // handleStatus applies a status and returns the state of the incarnation that reported it.
 func (s *Shard) handleStatus(w *workerState, sent logicalTime, reply statusReply) *workerState {
 	status := reply.Status
 	w = s.reportingIncarnation(w, status.StartedUnixMs)
+	w.repliedAt = s.opts.Clock()
 	first := w.clock == 0
 	if first {
 		w.firstReplyAt = s.opts.Clock()
@@ -336,14 +333,7 @@
 	if w.registered {
 		s.queueWorkerRow(w)
 	}
-	if w.leaseExpired(now) {
-		s.confirmLeaseExpiry(w)
-	}
-	s.removeEndedRuns(w, now)
-	if !w.accountedFor && w.failedHolds >= minUnansweredHolds && now > s.ownerSince+time.Duration(float64(s.inheritedLeaseOf(w))/minClockRate)+leaseMargin {
-		s.recordWaitExpired(w, now)
-		s.markAccountedFor(w)
-	}
+	s.checkSilence(w, now)
 	if s.registryRead && !w.registered && w.failedHolds > 0 && w.accountedFor && len(w.attempts) == 0 {
 		s.removeWorker(w, "not registered and unreachable")
 		return
