--- a/jobs/shard/incarnation_test.go
+++ b/jobs/shard/incarnation_test.go
@@ -152,7 +152,7 @@
 		time.Sleep(100 * time.Millisecond)
 		assert.Equal(t, r.fleet.Running(), 4)
 		o.callOnLoop(func() {
-			o.handleHoldReply(former, sent, former.fence, statusReply{Status: status, requestedAt: o.opts.Clock()}, nil)
+			o.handleHoldReply(former, &holdCall{sent: sent, fence: former.fence}, statusReply{Status: status, requestedAt: o.opts.Clock()}, nil)
 		})
 		r.setRegistryEntry(o, 0, restarted)
 		r.awaitState(o, 1, job.Completed, 10*time.Second)
