Jobs: the log tells a silent worker from a late owner

The lines now have the number of silent workers, the age of the last reply, the time to the handling of a missing reply, and the acknowledgements without an answer. They come with existing lines only.

--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"peridotcrank.dev/eventlog"
@@ -49,6 +50,10 @@
 	// before the restart was known, although it counts ends of the former one.
 	ackedBeforeRestart uint64
 	overCapacity       bool
+	// unansweredAcks are the acknowledgements to this incarnation without an answer, and
+	// formerAcks those to the former one when the restart became known. Oldest first.
+	unansweredAcks, formerAcks []sentAck
+	holdLimit                  time.Duration // Of the last hold.
 	// recent is a ring of the last applied ends.
 	recent     [recentEnds]appliedEnd
 	recentNext int
@@ -56,7 +61,10 @@
 
 // traceAfterRestart returns the trace of the next incarnation of a worker.
 func traceAfterRestart(former *workerState) workerTrace {
-	return workerTrace{knownFromFirstEnd: former.accountedFor, ackedBeforeRestart: former.trace.acked}
+	return workerTrace{
+		knownFromFirstEnd: former.accountedFor, ackedBeforeRestart: former.trace.acked,
+		formerAcks: slices.Concat(former.trace.formerAcks, former.trace.unansweredAcks),
+	}
 }
 
 // shardTrace is what the log tells of a shard.
@@ -79,6 +87,7 @@
 	if w.trace.ackedBeforeRestart > 0 {
 		fields["acked_before_restart"] = w.trace.ackedBeforeRestart
 	}
+	addAckFields(fields, "late", w.trace.formerAcks, s.opts.Clock())
 	return fields
 }
 
@@ -89,6 +98,7 @@
 	fields["born"], fields["former_born"], fields["seen_in"] = born, former.info.StartedUnixMs, string(seenIn)
 	fields["runs"], fields["former_cpu"] = len(former.attempts), former.info.Capacity.CPU
 	fields["entry_born"] = former.entry.StartedUnixMs
+	addAckFields(fields, "unanswered", former.trace.unansweredAcks, s.opts.Clock())
 	s.recordEvent(eventlog.WorkerRestarted, fields)
 }
 
@@ -96,6 +106,7 @@
 func (s *Shard) recordWaitExpired(w *workerState, now time.Duration) {
 	fields := s.workerFields(w)
 	fields["waited"], fields["registered"], fields["failed_holds"] = (now - s.ownerSince).String(), w.registered, w.failedHolds
+	s.addSilenceFields(fields, w)
 	s.recordEvent(eventlog.WorkerWaitExpired, fields)
 }
 
--- a/jobs/shard/traceruns.go
+++ b/jobs/shard/traceruns.go
@@ -94,6 +94,7 @@
 	fields := s.workerFields(w)
 	fields["reason"], fields["runs"] = string(reason), strings.Join(names, " ")
 	fields["starting"], fields["running"], fields["stopping"] = count[starting], count[running], count[stopping]
+	s.addSilenceFields(fields, w)
 	if reason == notListed {
 		fields["recent_ends"] = w.trace.recentText()
 	}
--- /dev/null
+++ b/jobs/shard/tracesilence.go
@@ -0,0 +1,48 @@
+package shard
+
+import (
+	"peridotcrank.dev/eventlog"
+)
+
+// This file records what tells a silent worker from an owner that is late: how many workers
+// are silent at the same moment, and how old the last reply is.
+
+// addSilenceFields adds the number of workers without a reply to their last hold, the number
+// of known workers, and for one worker the time since its last status was applied and since it
+// was taken at the earliest.
+func (s *Shard) addSilenceFields(fields eventlog.Fields, w *workerState) {
+	now := s.opts.Clock()
+	silent := 0
+	for _, other := range s.workers {
+		if other.failedHolds > 0 {
+			silent++
+		}
+	}
+	fields["silent"], fields["workers"] = silent, len(s.workers)
+	if w.lastStatusAt > 0 {
+		fields["reply_age"], fields["status_age"] = (now - w.lastStatusAt).String(), (now - w.statusTakenAt).String()
+	}
+}
+
+// recordUnreachable records the first hold of a worker that fails. took is longer than the
+// time limit of the hold if this process handles the missing reply late.
+func (s *Shard) recordUnreachable(w *workerState, err error) {
+	now := s.opts.Clock()
+	fields := eventlog.Fields{
+		"worker": w.info.ID, "error": err, "runs": len(w.attempts),
+		"took": (now - w.holdSentAt).String(), "limit": w.trace.holdLimit.String(),
+	}
+	s.addSilenceFields(fields, w)
+	addAckFields(fields, "unanswered", w.trace.unansweredAcks, now)
+	s.recordEvent(eventlog.WorkerUnreachable, fields)
+}
+
+// recordLeasePassed records that a lease has expired and the last query was not answered.
+func (s *Shard) recordLeasePassed(w *workerState, runs int) {
+	fields := eventlog.Fields{
+		"worker": w.info.ID, "runs": runs, "failed_holds": w.failedHolds,
+		"overdue": (s.opts.Clock() - w.leaseExpiry()).String(),
+	}
+	s.addSilenceFields(fields, w)
+	s.recordEvent(eventlog.WorkerLeasePassed, fields)
+}
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -182,6 +182,7 @@
 		}
 	}
 	w.holdInFlight, w.holdSentAt = true, now
+	ack := w.trace.noteHoldSent(order, now)
 	sent, to := s.nextLogicalTime(), w.target()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), order.Wait+holdTimeout)
@@ -191,6 +192,7 @@
 			if err == nil {
 				w.ackedEnd = max(w.ackedEnd, order.AckedUpTo)
 			}
+			w.noteAckReply(ack, reply, err)
 			s.handleHoldReply(w, sent, reply, err)
 		})
 	}()
@@ -241,7 +243,7 @@
 		if len(ended) == 0 {
 			return
 		}
-		s.recordEvent(eventlog.WorkerLeasePassed, eventlog.Fields{"worker": w.info.ID, "runs": len(ended)})
+		s.recordLeasePassed(w, len(ended))
 		s.removeRuns(w, ended, leaseExpired, nil)
 		s.schedulePlacement()
 	})
@@ -322,7 +324,7 @@
 	}
 	w.failedHolds++
 	if w.failedHolds == 1 {
-		s.recordEvent(eventlog.WorkerUnreachable, eventlog.Fields{"worker": w.info.ID, "error": err, "runs": len(w.attempts)})
+		s.recordUnreachable(w, err)
 	}
 	s.opts.Loop.After(holdRetryDelay, func() { s.sendHold(w) })
 }
