Jobs: the log tells what an owner had stored last, and transactions without an answer

To tell an end that was acknowledged and not stored, the last ends-stored line of an owner is compared with head-claimed of the next one. The last second of a stopped owner was missing, a claim without an answer left no head-claimed at all, and a transaction that counts as applied because of the head row left no line.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -115,6 +115,7 @@
 	JobHeldBackByCap Code = 4582
 	CapRowUnreadable Code = 4583
 
+	CommitFound        Code = 4589
 	RunRemoved         Code = 4590
 	EndsMissing        Code = 4591
 	TasksRestarted     Code = 4592
@@ -304,12 +305,13 @@
 	{CapNeedUnmet, "cap-need-unmet", LevelInfo, "For over a second, a pool has held less of a workspace's cap than it needs."},
 	{JobHeldBackByCap, "job-held-back-by-cap", LevelInfo, "The cap of its workspace has held back a job's next step for over a second."},
 	{CapRowUnreadable, "cap-row-unreadable", LevelWarning, "The division of a workspace's cap cannot be decoded; no task of the workspace starts until it is written again."},
+	{CommitFound, "commit-found", LevelInfo, "A transaction of a shard without an answer was found applied, since the head row has its number."},
 	{RunRemoved, "run-removed", LevelWarning, "Runs on a worker no longer count although no end of them was applied; each line gives the reason and names at most 14 runs."},
 	{EndsMissing, "ends-missing", LevelWarning, "A worker's list of ended runs skips numbers that were never applied; the ends of these runs are unknown."},
 	{TasksRestarted, "tasks-restarted", LevelInfo, "Tasks of a step are started again after a run that did not end as done or failed; the field former names that run, its worker and why it no longer counts."},
 	{EndIgnored, "end-ignored", LevelWarning, "The end of a run was not applied, because its job or task is unknown or unreadable, or the task was already done; it is acknowledged all the same."},
 	{WorkerWaitExpired, "worker-wait-expired", LevelWarning, "A worker of a former owner did not reply until all its leases had expired; its tasks can start on other workers."},
-	{EndsStored, "ends-stored", LevelInfo, "Up to which number the ends of workers are stored, or need no row; at most one line a second for each shard, with the number of its last transaction and up to 24 workers."},
+	{EndsStored, "ends-stored", LevelInfo, "Up to which number the ends of workers are stored, or need no row; at most one line a second for each shard, and one when its owner stops, with the number of its last transaction and up to 24 workers."},
 	{HeadClaimed, "head-claimed", LevelInfo, "This process claimed the head row of a shard; the fields name the former owner and its last transaction."},
 	{WorkerOverCapacity, "worker-over-capacity", LevelWarning, "The runs that execute on a worker need more than its capacity."},
 	{StartsLimited, "starts-limited", LevelInfo, "Replies to start orders are late, so the owner of a shard has fewer of them in flight."},
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -49,6 +49,7 @@
 	tx          rows.Tx
 	sequence    uint64
 	firstSentAt time.Duration
+	attempts    int // How often it was sent.
 	inserts     []*jobState
 	endedJobs   []*jobState
 	workerRows  []*workerState
@@ -265,6 +266,7 @@
 		s.opts.Loop.After(commitRetryDelay, func() { s.sendBatch(b) })
 		return
 	}
+	b.attempts++
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 		defer cancel()
@@ -291,6 +293,7 @@
 			s.relinquish("the head row belongs to another owner")
 			return
 		}
+		s.recordCommitFound(b, version)
 		s.applyCommitted(b, version)
 	}
 }
@@ -411,6 +414,7 @@
 		version = row.Version
 	}
 	if head.Owner == s.opts.Owner {
+		s.recordClaim(nil, head, version, claimFound)
 		return head, version, nil // An earlier attempt took effect.
 	}
 	if head.Fence > s.opts.Fence {
@@ -429,12 +433,13 @@
 		Set:    []rows.Row{{Key: key, Value: value}},
 	})
 	if err != nil {
+		s.recordFailedClaim(head, next, version, err)
 		return nil, 0, fmt.Errorf("write head row: %w", err)
 	}
 	if !result.Applied {
 		return nil, 0, fmt.Errorf("write head row: %w", errHeadChanged)
 	}
-	s.recordClaim(head, next)
+	s.recordClaim(head, next, version, claimApplied)
 	return next, result.Version, nil
 }
 
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -102,6 +102,7 @@
 	if s.stopped {
 		return
 	}
+	s.recordLastEndsStored()
 	s.stopped = true
 	for _, js := range s.jobs {
 		code := Unknown
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -74,6 +74,7 @@
 	number     int
 	tasks      []*task
 	done       int // Tasks that succeeded.
+	loadedDone int // Tasks that were done in the rows that this owner has loaded.
 	pending    int // Tasks that are not done and have no attempt.
 	released   bool
 	releasedAt time.Duration // When its tasks could first start.
--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -1,11 +1,13 @@
 package shard
 
 import (
+	"errors"
 	"slices"
 	"time"
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/jobpb"
+	"peridotcrank.dev/jobs/rows"
 )
 
 // This file records what the log tells of workers and of takeovers. Like the other trace
@@ -73,7 +75,8 @@
 	endsRecordedAt time.Duration
 	ignoredEnds    int // In the interval that began at ignoredSince.
 	ignoredSince   time.Duration
-	ignoredLeftOut int // Ignored ends that were not logged, until the next line.
+	ignoredLeftOut int          // Ignored ends that were not logged, until the next line.
+	loadedHead     rows.Version // Of the head row when the rows were read.
 }
 
 // workerFields returns the fields that identify an incarnation of a worker and how far
@@ -110,20 +113,43 @@
 	s.recordEvent(eventlog.WorkerWaitExpired, fields)
 }
 
-// recordClaim records the claim of the head row and the owner that wrote it last.
-func (s *Shard) recordClaim(former, claimed *jobpb.Head) {
-	s.recordEvent(eventlog.HeadClaimed, eventlog.Fields{
-		"fence": claimed.Fence, "generation": claimed.Generation,
-		"former_owner": former.Owner, "former_fence": former.Fence, "former_generation": former.Generation, "former_sequence": former.Sequence,
-	})
+// claimOutcome says whether the store has applied the claim of a head row.
+type claimOutcome string
+
+const (
+	claimApplied claimOutcome = "applied"
+	claimUnknown claimOutcome = "unknown" // The claim got no answer; it is read again.
+	claimFound   claimOutcome = "found"   // An earlier claim of this owner was applied.
+)
+
+// recordClaim records the claim of the head row and the owner that wrote it before, as read in
+// the given version. If an earlier claim is found, its line names the former owner.
+func (s *Shard) recordClaim(former, claimed *jobpb.Head, read rows.Version, outcome claimOutcome) {
+	fields := eventlog.Fields{"fence": claimed.Fence, "generation": claimed.Generation, "outcome": string(outcome)}
+	if outcome == claimFound {
+		fields["head"] = read
+	} else {
+		fields["former_owner"], fields["former_fence"], fields["former_generation"] = former.Owner, former.Fence, former.Generation
+		fields["former_sequence"], fields["former_head"] = former.Sequence, read
+	}
+	s.recordEvent(eventlog.HeadClaimed, fields)
+}
+
+// recordFailedClaim records a claim that got no answer and may be applied.
+func (s *Shard) recordFailedClaim(former, claimed *jobpb.Head, read rows.Version, err error) {
+	if !errors.Is(err, rows.ErrNotExecuted) {
+		s.recordClaim(former, claimed, read, claimUnknown)
+	}
 }
 
 // recordLoaded records what the rows of the shard contained.
 func (s *Shard) recordLoaded(generation uint32) {
+	s.trace.loadedHead = s.journal.head
 	done, failures := 0, 0
 	for _, js := range s.jobs {
 		for _, step := range js.steps {
 			done += step.done
+			step.loadedDone = step.done
 			failures += len(step.failedRuns)
 			for _, t := range step.tasks {
 				failures += len(t.failedRuns)
@@ -132,6 +158,15 @@
 	}
 	s.recordEvent(eventlog.ShardLoaded, eventlog.Fields{
 		"fence": s.opts.Fence, "generation": generation, "jobs": len(s.jobs), "queues": len(s.storedQueues), "workers": s.unaccountedWorkers,
-		"done_tasks": done, "failed_runs": failures, "ended_jobs": len(s.ended),
+		"done_tasks": done, "failed_runs": failures, "ended_jobs": len(s.ended), "head": s.journal.head,
 	})
 }
+
+// addInheritedFields adds what the rows told of a step that a former owner has accepted and
+// may have started: the number of its done tasks, and the version of the head row when they
+// were read.
+func (s *Shard) addInheritedFields(fields eventlog.Fields, step *stepState) {
+	if step.job.inherited {
+		fields["inherited"], fields["loaded_done"], fields["loaded_head"] = true, step.loadedDone, s.trace.loadedHead
+	}
+}
--- a/jobs/shard/traceends.go
+++ b/jobs/shard/traceends.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/rows"
 	"peridotcrank.dev/jobs/worker"
 )
 
@@ -157,6 +158,10 @@
 		return
 	}
 	s.trace.endsRecordedAt = now
+	s.recordEvent(eventlog.EndsStored, s.storedFields())
+}
+
+func (s *Shard) storedFields() eventlog.Fields {
 	var numbers []string
 	for w := range s.trace.storedWorkers {
 		if len(numbers) == maxWorkersPerLine {
@@ -165,8 +170,34 @@
 		numbers = append(numbers, fmt.Sprintf("%s:%d", w.info.ID, w.lastCommittedEnd))
 		delete(s.trace.storedWorkers, w)
 	}
-	s.recordEvent(eventlog.EndsStored, eventlog.Fields{
-		"fence": s.opts.Fence, "generation": s.journal.generation, "sequence": s.journal.sequence,
+	return eventlog.Fields{
+		"fence": s.opts.Fence, "generation": s.journal.generation, "sequence": s.journal.sequence, "head": s.journal.head,
 		"numbers": strings.Join(numbers, " "), "left": len(s.trace.storedWorkers),
+	}
+}
+
+// recordLastEndsStored records, when this process stops acting for the shard, what it has
+// stored since the last such event, the transaction in flight, which may still be applied,
+// and the acknowledgements that may still act. The next owner knows none of this.
+func (s *Shard) recordLastEndsStored() {
+	now := s.opts.Clock()
+	unanswered, left := s.unansweredAcksText(now)
+	if !s.active || len(s.trace.storedWorkers) == 0 && s.journal.batch == nil && unanswered == "" {
+		return
+	}
+	fields := s.storedFields()
+	fields["last"], fields["unanswered_acks"], fields["unanswered_left"] = true, unanswered, left
+	if b := s.journal.batch; b != nil {
+		fields["in_flight"], fields["in_flight_for"], fields["attempts"] = b.sequence, (now - b.firstSentAt).String(), b.attempts
+	}
+	s.recordEvent(eventlog.EndsStored, fields)
+}
+
+// recordCommitFound records that a transaction without an answer counts as applied because the
+// head row has its number.
+func (s *Shard) recordCommitFound(b *batch, version rows.Version) {
+	s.recordEvent(eventlog.CommitFound, eventlog.Fields{
+		"fence": s.opts.Fence, "generation": s.journal.generation, "sequence": b.sequence, "former_head": s.journal.head, "head": version,
+		"attempts": b.attempts, "took": (s.opts.Clock() - b.firstSentAt).String(), "workers": len(b.appliedEnds),
 	})
 }
