Jobs: repeated reads of a silent peer no longer fill the log

In the excerpt of the record, unanswered waiting and state calls stand beside the calls whose outcome is unknown, and the lines of the owners are missing. Reads change nothing, and callers repeat them.

call-unanswered has at most 5 lines a second for each peer and kind of read, and call-not-served for each shard, kind of read and result, with the number left out (left_out). Submissions and cancellations keep a line each.

--- a/jobs/ingress/forwarder.go
+++ b/jobs/ingress/forwarder.go
@@ -37,6 +37,9 @@
 	// It is short because callers retry, and a late refusal only delays their retry.
 	submitOwnerWait = 120 * time.Millisecond
 	retryAfter      = time.Second
+	// maxReadLines limits the lines per peer, kind of call and second for reads that got no
+	// reply. They change nothing, and callers repeat them often.
+	maxReadLines = 5
 )
 
 // Forwarder forwards calls to the owners of shards. It is safe for concurrent use.
@@ -44,11 +47,13 @@
 	o         Options
 	directory atomic.Pointer[cluster.Directory]
 	outages   outages
+	// readLines limits the lines of reads that got no reply.
+	readLines *eventlog.Sampler
 }
 
 // NewForwarder returns a forwarder that knows no owners until SetDirectory is called.
 func NewForwarder(o Options) *Forwarder {
-	f := &Forwarder{o: o}
+	f := &Forwarder{o: o, readLines: eventlog.NewSampler(maxReadLines)}
 	f.directory.Store(&cluster.Directory{})
 	return f
 }
@@ -232,10 +237,26 @@
 	}
 	reply, err := f.o.Client.Call(ctx, owner.Address, request)
 	if err != nil {
-		f.o.Recorder.Record(eventlog.CallUnanswered, eventlog.Fields{
-			"job": request.Id, "call": request.Call.String(), "peer": owner.Member, "error": err,
-		})
+		f.recordUnanswered(request, owner.Member, err)
 		return nil, !errors.Is(err, relay.ErrNotSent)
 	}
 	return reply, false
 }
+
+// recordUnanswered records a call that got no reply. Each submission and each cancellation has
+// a line, since its outcome may be unknown; the lines of reads are limited.
+func (f *Forwarder) recordUnanswered(request *jobpb.Request, peer string, err error) {
+	fields := eventlog.Fields{"job": request.Id, "call": request.Call.String(), "peer": peer, "error": err}
+	if !changesJobs(request.Call) {
+		leftOut, permitted := f.readLines.Permit(peer+" "+request.Call.String(), time.Now())
+		if !permitted {
+			return
+		}
+		fields["left_out"] = leftOut
+	}
+	f.o.Recorder.Record(eventlog.CallUnanswered, fields)
+}
+
+func changesJobs(call jobpb.Call) bool {
+	return call == jobpb.Call_CALL_SUBMIT || call == jobpb.Call_CALL_CANCEL
+}
--- a/peridotcrank/jobproc/observe.go
+++ b/peridotcrank/jobproc/observe.go
@@ -99,8 +99,14 @@
 	forwarder *ingress.Forwarder
 	metrics   *metrics.Metrics
 	recorder  eventlog.Recorder
+	// readLines limits the lines of reads that were not served.
+	readLines *eventlog.Sampler
 }
 
+// maxReadLines limits the lines per shard, kind of call, result and second for reads that were
+// not served. Submissions and cancellations have a line each.
+const maxReadLines = 5
+
 // CallAny implements [platform.Forwarder].
 func (c instrumentedForwarder) CallAny(ctx context.Context, request *jobpb.Request, former []ingress.Place) *jobpb.Reply {
 	began := time.Now()
@@ -111,13 +117,25 @@
 	c.metrics.TimeJobCall(call, result, took)
 	switch reply.Code {
 	case jobpb.Code_CODE_REFUSED, jobpb.Code_CODE_LIMITED, jobpb.Code_CODE_UNKNOWN:
-		c.recorder.Record(eventlog.CallNotServed, eventlog.Fields{
-			"job": request.Id, "queue": request.Queue, "shard": request.Shard, "call": call, "result": result, "took": took.String(),
-		})
+		c.recordNotServed(request, call, result, took)
 	}
 	return reply
 }
 
+func (c instrumentedForwarder) recordNotServed(request *jobpb.Request, call, result string, took time.Duration) {
+	fields := eventlog.Fields{
+		"job": request.Id, "queue": request.Queue, "shard": request.Shard, "call": call, "result": result, "took": took.String(),
+	}
+	if request.Call != jobpb.Call_CALL_SUBMIT && request.Call != jobpb.Call_CALL_CANCEL {
+		leftOut, permitted := c.readLines.Permit(strings.Join([]string{request.Shard, call, result}, " "), time.Now())
+		if !permitted {
+			return
+		}
+		fields["left_out"] = leftOut
+	}
+	c.recorder.Record(eventlog.CallNotServed, fields)
+}
+
 // recordPrediction records how well the duration of a task was predicted.
 func (p *Process) recordPrediction(predicted, actual time.Duration) {
 	p.metrics.ObserveDurationRatio(float64(actual) / float64(predicted))
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -240,7 +240,7 @@
 // newCallerHandler returns the HTTP handler for callers. While the process stops, each
 // response closes the connection, so that the caller connects to another process.
 func (p *Process) newCallerHandler() http.Handler {
-	handler := &platform.JobHandler{Forwarder: instrumentedForwarder{p.forwarder, p.metrics, p.log}, Gate: instrumentedGate{p.gate, p.metrics, p.log}}
+	handler := &platform.JobHandler{Forwarder: instrumentedForwarder{p.forwarder, p.metrics, p.log, eventlog.NewSampler(maxReadLines)}, Gate: instrumentedGate{p.gate, p.metrics, p.log}}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if p.stopping.Load() {
 			w.Header().Set("Connection", "close")
