explain: who gave up the first run of a task, and why

It now also prints restarts of workers and takeovers up to 15 s before the first line of the job, first replies, stored ends of its workers, and the events of the owners' processes; it leaves out never-began runs of other jobs. Tasks with more than one start follow with the reason of each start.

--- a/peridotcrank/cli/explain.go
+++ b/peridotcrank/cli/explain.go
@@ -12,6 +12,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
+
+	"peridotcrank.dev/eventlog"
 )
 
 type explainCommand struct {
@@ -46,7 +49,8 @@
 
 // Execute reads the logs of all processes from standard input, in any order, and
 // prints the events of one id: the lines that contain the id, and the events of
-// related shards, workers and workspaces between the first and the last of these lines.
+// related shards, workers, workspaces and owners between the first and the last of these
+// lines. Tasks that were started more than once follow, with the reason for each start.
 func (c *explainCommand) Execute([]string) error {
 	in := c.in
 	if in == nil {
@@ -64,6 +68,9 @@
 		for _, l := range relevant {
 			t.line(fmt.Sprintf("%s  %-20s %-22s %s", l.Time, l.Process, l.Event, l.details()))
 		}
+		for _, text := range repeatedStarts(relevant) {
+			t.line(text)
+		}
 	})
 }
 
@@ -104,36 +111,89 @@
 // contextEvents maps events of shards, workers and workspaces that affect jobs to the
 // field that contains the shard, the worker or the workspace.
 var contextEvents = map[string]string{
-	"shard-acquired": "shard", "shard-loaded": "shard", "shard-lost": "shard", "shard-released": "shard",
+	"shard-acquired": "shard", "shard-loaded": "shard", "shard-lost": "shard", "shard-released": "shard", "shard-handed-over": "shard",
+	"head-claimed": "shard", "commit-found": "shard", "starts-limited": "shard",
 	"worker-gone": "worker", "worker-reborn": "worker", "worker-unreachable": "worker", "worker-lease-passed": "worker",
-	"run-removed": "worker", "ends-missing": "worker", "worker-over-capacity": "worker", "worker-wait-expired": "worker",
-	"head-claimed": "shard",
-	"cap-reached":  "workspace", "cap-need-unmet": "workspace", "cap-row-unreadable": "workspace",
+	"run-removed": "worker", "ends-missing": "worker", "worker-over-capacity": "worker", "worker-wait-expired": "worker", "worker-joined": "worker",
+	"cap-reached": "workspace", "cap-need-unmet": "workspace", "cap-row-unreadable": "workspace",
+}
+
+// ownerEvents are events of a process that affect the jobs of its shards.
+var ownerEvents = map[string]bool{
+	"process-started": true, "process-stopping": true, "process-paused": true, "renewal-failed": true, "renewal-restored": true,
+	"store-through-peer": true, "store-own-way": true,
+}
+
+// lastingEvents are context events with an effect on later jobs: the owner of a shard, and the
+// incarnation of a worker, which calls for the former one may reach.
+var lastingEvents = map[string]bool{"shard-acquired": true, "head-claimed": true, "shard-loaded": true, "worker-reborn": true}
+
+// lastingTime is how long before the first line of an id lasting events are printed. It
+// covers the longest delay of an order to a worker.
+const lastingTime = 15 * time.Second
+
+// span is what the lines that contain an id relate to.
+type span struct {
+	first, last uint64          // Logical times of the first and the last of these lines.
+	related     map[string]bool // Shards, workers and workspaces.
+	owners      map[string]bool // Processes that started tasks.
 }
 
 func relevantLines(lines []logLine, id string) (relevant []logLine) {
-	related := map[string]bool{}
-	var first, last uint64
+	s := span{related: map[string]bool{}, owners: map[string]bool{}}
 	for _, l := range lines {
-		if !l.mentions(id) {
-			continue
+		if l.mentions(id) {
+			s.add(l)
 		}
-		if first == 0 {
-			first = l.logical
-		}
-		last = l.logical
-		l.addRelated(related)
 	}
 	for _, l := range lines {
-		field, isContext := contextEvents[l.Event]
-		value, _ := l.fields[field].(string)
-		if l.mentions(id) || isContext && related[value] && l.logical >= first && l.logical <= last {
+		if l.mentions(id) || s.includes(l) {
 			relevant = append(relevant, l)
 		}
 	}
 	return relevant
 }
 
+func (s *span) add(l logLine) {
+	if s.first == 0 {
+		s.first = l.logical
+	}
+	s.last = l.logical
+	l.addRelated(s.related)
+	if l.Event == "tasks-started" {
+		s.owners[l.Process] = true
+	}
+}
+
+// includes reports whether a line without the id explains what happened to it.
+func (s *span) includes(l logLine) bool {
+	if l.logical > s.last || l.logical < s.first && !(lastingEvents[l.Event] && s.first-l.logical <= eventlog.Pack(time.UnixMilli(lastingTime.Milliseconds()), 0)) {
+		return false
+	}
+	if l.Event == "ends-stored" {
+		return s.namesRelated(l.text("numbers")) || s.namesRelated(l.text("unanswered_acks"))
+	}
+	if l.Event == "run-removed" && l.text("reason") == "never-began" {
+		return false // Normal for an unanswered start, and of another job.
+	}
+	field, isContext := contextEvents[l.Event]
+	return isContext && s.related[l.text(field)] || ownerEvents[l.Event] && s.owners[l.Process]
+}
+
+// namesRelated reports whether a list of WORKER:NUMBER names a related worker.
+func (s *span) namesRelated(list string) bool {
+	return slices.ContainsFunc(strings.Fields(list), func(entry string) bool {
+		colon := strings.LastIndexByte(entry, ':')
+		return colon > 0 && s.related[entry[:colon]]
+	})
+}
+
+// text returns a field that is a text, or "".
+func (l *logLine) text(field string) string {
+	value, _ := l.fields[field].(string)
+	return value
+}
+
 // mentions reports whether a field of the line contains the id, alone or as a part.
 func (l *logLine) mentions(id string) bool {
 	for _, value := range l.fields {
@@ -148,12 +208,11 @@
 // tasks, the worker of each started task follows an @.
 func (l *logLine) addRelated(related map[string]bool) {
 	for _, name := range []string{"shard", "worker", "workspace"} {
-		if value, ok := l.fields[name].(string); ok {
+		if value := l.text(name); value != "" {
 			related[value] = true
 		}
 	}
-	tasks, _ := l.fields["tasks"].(string)
-	for _, task := range strings.Fields(tasks) {
+	for _, task := range strings.Fields(l.text("tasks")) {
 		if _, worker, ok := strings.Cut(task, "@"); ok {
 			related[worker] = true
 		}
--- /dev/null
+++ b/peridotcrank/cli/explainruns.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// startedRun is a start of a task that a line tasks-started names.
+type startedRun struct {
+	line        logLine
+	run, worker string
+	former      string // The former run and why it no longer counts, if its owner told.
+}
+
+// repeatedStarts returns, for each task that was started more than once, a line with the task
+// and one with each start and its reason.
+func repeatedStarts(lines []logLine) (texts []string) {
+	starts, e := map[string][]startedRun{}, evidence{ends: map[string]string{}, joined: map[string]logLine{}}
+	for _, l := range lines {
+		switch l.Event {
+		case "tasks-started":
+			for _, entry := range strings.Fields(l.text("tasks")) {
+				index, rest, _ := strings.Cut(entry, "/")
+				run, worker, _ := strings.Cut(rest, "@")
+				task := l.text("step") + "." + index
+				starts[task] = append(starts[task], startedRun{line: l, run: run, worker: worker})
+			}
+		case "tasks-restarted":
+			noteFormerRuns(starts, l)
+		case "task-failed", "start-refused":
+			e.ends[fmt.Sprintf("%s/%v", l.text("task"), l.fields["run"])] = l.Event
+		case "worker-joined":
+			e.joined[l.Process+" "+l.text("worker")] = l
+		}
+	}
+	for _, task := range slices.Sorted(maps.Keys(starts)) {
+		if len(starts[task]) > 1 {
+			texts = append(texts, e.describeStarts(task, starts[task])...)
+		}
+	}
+	return texts
+}
+
+// evidence is what the lines tell about why a run no longer counts.
+type evidence struct {
+	ends   map[string]string  // Events that ended a run, by TASK/RUN.
+	joined map[string]logLine // First replies of workers to their owners, by process and worker.
+}
+
+// noteFormerRuns adds the former runs that a line tasks-restarted names to the starts of the
+// line before it.
+func noteFormerRuns(starts map[string][]startedRun, l logLine) {
+	for _, entry := range strings.Fields(l.text("former")) {
+		index, former, _ := strings.Cut(entry, "/")
+		if runs := starts[l.text("step")+"."+index]; len(runs) > 0 {
+			runs[len(runs)-1].former = former
+		}
+	}
+}
+
+func (e evidence) describeStarts(task string, runs []startedRun) []string {
+	texts := []string{fmt.Sprintf("%s was started %d times:", task, len(runs))}
+	for i, r := range runs {
+		text := fmt.Sprintf("  run %s on %s by %s, fence %v, at %s", r.run, r.worker, r.line.Process, r.line.fields["fence"], r.line.Time)
+		if i > 0 {
+			text += ": " + e.reasonOfStart(task, runs[i-1], r)
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
+
+// reasonOfStart says why a task was started although it had a former start.
+func (e evidence) reasonOfStart(task string, former, next startedRun) string {
+	if next.former != "" {
+		return "run " + next.former
+	}
+	if end := e.ends[task+"/"+former.run]; end != "" {
+		return "run " + former.run + " " + end
+	}
+	before, after := fmt.Sprint(former.line.fields["fence"]), fmt.Sprint(next.line.fields["fence"])
+	if before == after {
+		return "no line gives a reason"
+	}
+	text := fmt.Sprintf("another owner, which knew of no run (fence %s after %s); to it, %s ", after, before, former.worker)
+	joined, ok := e.joined[next.line.Process+" "+former.worker]
+	if !ok || joined.logical > next.line.logical || joined.logical < former.line.logical {
+		return text + "had not replied"
+	}
+	return text + fmt.Sprintf("replied with born=%v first_end=%v runs_listed=%v", joined.fields["born"], joined.fields["first_end"], joined.fields["runs_listed"])
+}
--- /dev/null
+++ b/peridotcrank/cli/explainruns_test.go
@@ -0,0 +1,74 @@
+package cli
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func explain(t *testing.T, id string, entries ...string) []string {
+	t.Helper()
+	var out bytes.Buffer
+	c := &explainCommand{app: &app{out: &out}, in: strings.NewReader(strings.Join(entries, "\n"))}
+	c.Args.ID = id
+	assert.NilError(t, c.Execute(nil))
+	return strings.Split(strings.TrimSpace(out.String()), "\n")
+}
+
+// Guards against an explanation that leaves open which owner started a task again, and why.
+func TestExplainTellsWhyTaskStartsAgain(t *testing.T) {
+	const step = `"field.job":"aa11","field.step":"aa11.0.0","field.shard":"s"`
+	lines := explain(t, "aa11",
+		logEntry(1, "p1", "tasks-started", step+`,"field.fence":4,"field.tasks":"0/1@w1 1/1@w1 2/1@w2 3/1@w2 4/1@w1"`),
+		logEntry(2, "p1", "tasks-started", step+`,"field.fence":4,"field.tasks":"0/2@w2"`),
+		logEntry(3, "p1", "tasks-restarted", step+`,"field.fence":4,"field.former":"0/1@w1:lease-expired"`),
+		logEntry(4, "p1", "task-failed", `"field.task":"aa11.0.0.1","field.run":1,"field.worker":"w1"`),
+		logEntry(5, "p1", "tasks-started", step+`,"field.fence":4,"field.tasks":"1/2@w2"`),
+		logEntry(6, "p2", "worker-joined", `"field.worker":"w2","field.born":7,"field.first_end":9,"field.runs_listed":0`),
+		logEntry(7, "p2", "tasks-started", step+`,"field.fence":5,"field.inherited":true,"field.tasks":"2/1001@w3 4/1001@w3"`),
+		logEntry(8, "p2", "job-ended", `"field.job":"aa11"`),
+	)
+	assert.DeepEqual(t, lines[8:], []string{
+		"aa11.0.0.0 was started 2 times:",
+		"  run 1 on w1 by p1, fence 4, at t1",
+		"  run 2 on w2 by p1, fence 4, at t2: run 1@w1:lease-expired",
+		"aa11.0.0.1 was started 2 times:",
+		"  run 1 on w1 by p1, fence 4, at t1",
+		"  run 2 on w2 by p1, fence 4, at t5: run 1 task-failed",
+		"aa11.0.0.2 was started 2 times:",
+		"  run 1 on w2 by p1, fence 4, at t1",
+		"  run 1001 on w3 by p2, fence 5, at t7: another owner, which knew of no run (fence 5 after 4); to it, w2 replied with born=7 first_end=9 runs_listed=0",
+		"aa11.0.0.4 was started 2 times:",
+		"  run 1 on w1 by p1, fence 4, at t1",
+		"  run 1001 on w3 by p2, fence 5, at t7: another owner, which knew of no run (fence 5 after 4); to it, w1 had not replied",
+	})
+}
+
+// Guards against an explanation that lacks a restart of the worker before the job was accepted,
+// or how the owner stored and kept its authority; and against lines of other jobs and workers.
+func TestExplainNamesWhatPrecedesTheJob(t *testing.T) {
+	const before, accepted = 1<<40 - 14_000<<16, 1 << 40 // 14 s, in logical time.
+	lines := explain(t, "aa11",
+		logEntry(before-2_000<<16, "p1", "worker-reborn", `"field.worker":"w1","field.unanswered_ack":1`), // Calls before it can no longer act.
+		logEntry(before, "p1", "worker-reborn", `"field.worker":"w1","field.unanswered_ack":12`),
+		logEntry(before, "p1", "worker-unreachable", `"field.worker":"w1"`),
+		logEntry(accepted, "p1", "tasks-started", `"field.job":"aa11","field.step":"aa11.0.0","field.tasks":"0/1@w1"`),
+		logEntry(accepted+1, "p1", "ends-stored", `"field.numbers":"w2:3 w1:4"`),
+		logEntry(accepted+2, "p1", "ends-stored", `"field.numbers":"w2:3 w11:4"`),
+		logEntry(accepted+3, "p1", "ends-stored", `"field.last":true,"field.numbers":"","field.unanswered_acks":"w1:5"`),
+		logEntry(accepted+4, "p1", "renewal-failed", `"field.error":"x"`),
+		logEntry(accepted+5, "p2", "renewal-failed", `"field.error":"x"`),
+		logEntry(accepted+6, "p1", "run-removed", `"field.runs":"bb22.0.0.0/1","field.worker":"w1","field.reason":"never-began"`),
+		logEntry(accepted+7, "p1", "run-removed", `"field.runs":"bb22.0.0.0/1","field.worker":"w1","field.reason":"not-listed"`),
+		logEntry(accepted+8, "p1", "job-ended", `"field.job":"aa11"`),
+	)
+	var events []string
+	for _, line := range lines {
+		events = append(events, strings.Fields(line)[2])
+	}
+	assert.DeepEqual(t, events, []string{"worker-reborn", "tasks-started", "ends-stored", "ends-stored", "renewal-failed", "run-removed", "job-ended"})
+	assert.Assert(t, strings.Contains(lines[0], "unanswered_ack=12"))
+	assert.Assert(t, strings.Contains(lines[5], "not-listed"))
+}
