Jobs: an owner that stops names all workers with stored ends; field silent_workers

The last ends-stored line of an owner of more than 24 workers left the others to lines that never came. silent is now silent_workers, as in the events beside it.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -311,7 +311,7 @@
 	{TasksRestarted, "tasks-restarted", LevelInfo, "Tasks of a step are started again after a run that did not end as done or failed; the field former names that run, its worker and why it no longer counts."},
 	{EndIgnored, "end-ignored", LevelWarning, "The end of a run was not applied, because its job or task is unknown or unreadable, or the task was already done; it is acknowledged all the same."},
 	{WorkerWaitExpired, "worker-wait-expired", LevelWarning, "A worker of a former owner did not reply until all its leases had expired; its tasks can start on other workers."},
-	{EndsStored, "ends-stored", LevelInfo, "Up to which number the ends of workers are stored, or need no row; at most one line a second for each shard, and one when its owner stops, with the number of its last transaction and up to 24 workers."},
+	{EndsStored, "ends-stored", LevelInfo, "Up to which number the ends of workers are stored, or need no row; at most one line a second for each shard, and the rest when its owner stops, with the number of its last transaction and up to 24 workers."},
 	{HeadClaimed, "head-claimed", LevelInfo, "This process claimed the head row of a shard; the fields name the former owner and its last transaction."},
 	{WorkerOverCapacity, "worker-over-capacity", LevelWarning, "The runs that execute on a worker need more than its capacity."},
 	{StartsLimited, "starts-limited", LevelInfo, "Replies to start orders are late, so the owner of a shard has fewer of them in flight."},
--- a/jobs/shard/traceends.go
+++ b/jobs/shard/traceends.go
@@ -191,6 +191,11 @@
 		fields["in_flight"], fields["in_flight_for"], fields["attempts"] = b.sequence, (now - b.firstSentAt).String(), b.attempts
 	}
 	s.recordEvent(eventlog.EndsStored, fields)
+	for len(s.trace.storedWorkers) > 0 { // One line for each maxWorkersPerLine workers.
+		more := s.storedFields()
+		more["last"] = true
+		s.recordEvent(eventlog.EndsStored, more)
+	}
 }
 
 // recordCommitFound records that a transaction without an answer counts as applied because the
--- a/jobs/shard/tracesilence.go
+++ b/jobs/shard/tracesilence.go
@@ -18,7 +18,7 @@
 			silent++
 		}
 	}
-	fields["silent"], fields["workers"] = silent, len(s.workers)
+	fields["silent_workers"], fields["workers"] = silent, len(s.workers)
 	if w.lastStatusAt > 0 {
 		fields["reply_age"], fields["status_age"] = (now - w.lastStatusAt).String(), (now - w.statusTakenAt).String()
 	}
--- a/jobs/shard/tracestore_test.go
+++ b/jobs/shard/tracestore_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +77,23 @@
 		wantFields(t, claims[2], map[string]any{"outcome": claimFound, "generation": 2})
 	})
 }
+
+// Guards against an owner of many workers whose last lines leave out what some have stored.
+func TestLastStoredEndsOfAllWorkersAreRecorded(t *testing.T) {
+	const workers = 2*maxWorkersPerLine + 1
+	withEvents(t, workers, func(r *eventRig) {
+		o := r.startReady()
+		assert.Equal(t, r.submit(o, simpleJob(1, 4*workers)).Code, OK)
+		r.awaitState(o, 1, job.Completed, 10*time.Second)
+		r.callOnLoop(o.Stop)
+		stored := map[string]bool{}
+		for _, e := range r.events(eventlog.EndsStored) {
+			for _, number := range strings.Fields(e.Fields["numbers"].(string)) {
+				stored[number] = true
+			}
+		}
+		for _, info := range r.workerInfos {
+			assert.Assert(t, stored[string(info.ID)+":4"], "%s of %v", info.ID, stored)
+		}
+	})
+}
