Jobs: worker-gone and worker-reborn tell when the worker replied last

A worker that was taken for ended or restarted by a wrong entry of the registry looked like one that was. The lines now have the age of its last reply, and worker-gone its incarnation and whether it is registered.

--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -102,6 +102,7 @@
 	fields["runs"], fields["former_cpu"] = len(former.attempts), former.info.Capacity.CPU
 	fields["entry_born"] = former.entry.StartedUnixMs
 	addAckFields(fields, "unanswered", former.trace.unansweredAcks, s.opts.Clock())
+	s.addSilenceFields(fields, former)
 	s.recordEvent(eventlog.WorkerRestarted, fields)
 }
 
--- a/jobs/shard/tracesilence.go
+++ b/jobs/shard/tracesilence.go
@@ -37,6 +37,16 @@
 	s.recordEvent(eventlog.WorkerUnreachable, fields)
 }
 
+// recordGone records that a worker counts as ended.
+func (s *Shard) recordGone(w *workerState, reason string) {
+	fields := eventlog.Fields{
+		"worker": w.info.ID, "born": w.info.StartedUnixMs, "reason": reason, "runs": len(w.attempts),
+		"registered": w.registered, "failed_holds": w.failedHolds,
+	}
+	s.addSilenceFields(fields, w)
+	s.recordEvent(eventlog.WorkerGone, fields)
+}
+
 // recordLeasePassed records that a lease has expired and the last query was not answered.
 func (s *Shard) recordLeasePassed(w *workerState, runs int) {
 	fields := eventlog.Fields{
--- a/jobs/shard/tracesilence_test.go
+++ b/jobs/shard/tracesilence_test.go
@@ -72,3 +72,20 @@
 		})
 	}
 }
+
+// Guards against a worker that is taken for ended or restarted, while the log does not show that
+// it had replied just before.
+func TestGoneAndRestartedWorkersTellTheirLastReply(t *testing.T) {
+	withEvents(t, 2, func(r *eventRig) {
+		o := r.startReady()
+		restarted := r.workerInfos[1]
+		restarted.StartedUnixMs = 9
+		r.callOnLoop(func() { o.removeWorker(o.workers["w0"], "replaced") })
+		r.setRegistryEntry(o, 1, restarted)
+		gone, reborn := r.only(eventlog.WorkerGone), r.events(eventlog.WorkerRestarted)[0]
+		wantFields(t, gone, map[string]any{"worker": "w0", "born": 1, "reason": "replaced", "registered": true, "failed_holds": 0, "silent_workers": 0, "workers": 2})
+		wantFields(t, reborn, map[string]any{"worker": "w1", "seen_in": seenInRegistry, "silent_workers": 0})
+		assert.Assert(t, durationField(t, gone, "reply_age") < 3*time.Second)
+		assert.Assert(t, durationField(t, reborn, "reply_age") < 3*time.Second)
+	})
+}
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -148,7 +148,7 @@
 	if s.workers[w.info.ID] != w {
 		return
 	}
-	s.recordEvent(eventlog.WorkerGone, eventlog.Fields{"worker": w.info.ID, "reason": reason, "runs": len(w.attempts)})
+	s.recordGone(w, reason)
 	s.removeAttempts(w, workerGone)
 	s.markAccountedFor(w)
 	delete(s.workers, w.info.ID)
