--- a/jobs/shard/silence.go
+++ b/jobs/shard/silence.go
@@ -153,9 +153,7 @@
 	if len(ended) == 0 {
 		return
 	}
-	fields := e.fields()
-	fields["worker"], fields["runs"], fields["silent_workers"] = w.info.ID, len(ended), s.silentWorkers()
-	s.recordEvent(eventlog.WorkerLeasePassed, fields)
+	s.recordLeasePassed(w, len(ended), e)
 	s.removeRuns(w, ended, leaseExpired, nil)
 }
 
--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -1,11 +1,14 @@
 package shard
 
 import (
+	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/jobpb"
+	"peridotcrank.dev/jobs/rows"
 )
 
 // This file records what the log tells of workers and of takeovers. Like the other trace
@@ -50,6 +53,10 @@
 	// before the restart was known, although it counts ends of the former one.
 	ackedBeforeRestart uint64
 	overCapacity       bool
+	// unansweredAcks are the acknowledgements to this incarnation without an answer, and
+	// formerAcks those to the former one when the restart became known. Oldest first.
+	unansweredAcks, formerAcks []sentAck
+	holdLimit                  time.Duration // Of the last hold.
 	// recent is a ring of the last applied ends.
 	recent     [recentEnds]appliedEnd
 	recentNext int
@@ -57,7 +64,10 @@
 
 // traceAfterRestart returns the trace of the next incarnation of a worker.
 func traceAfterRestart(former *workerState) workerTrace {
-	return workerTrace{knownFromFirstEnd: former.accountedFor, ackedBeforeRestart: former.trace.acked}
+	return workerTrace{
+		knownFromFirstEnd: former.accountedFor, ackedBeforeRestart: former.trace.acked,
+		formerAcks: slices.Concat(former.trace.formerAcks, former.trace.unansweredAcks),
+	}
 }
 
 // shardTrace is what the log tells of a shard.
@@ -66,7 +76,8 @@
 	endsRecordedAt time.Duration
 	ignoredEnds    int // In the interval that began at ignoredSince.
 	ignoredSince   time.Duration
-	ignoredLeftOut int // Ignored ends that were not logged, until the next line.
+	ignoredLeftOut int          // Ignored ends that were not logged, until the next line.
+	loadedHead     rows.Version // Of the head row when the rows were read.
 }
 
 // workerFields returns the fields that identify an incarnation of a worker and how far
@@ -75,11 +86,12 @@
 func (s *Shard) workerFields(w *workerState) eventlog.Fields {
 	fields := eventlog.Fields{
 		"worker": w.info.ID, "born": w.info.StartedUnixMs, "clock": w.lastStatusClock.Milliseconds(),
-		"fence": s.opts.Fence, "right": s.canAct(), "applied": w.lastAppliedEnd, "stored": w.lastCommittedEnd, "acked": w.trace.acked,
+		"fence": s.opts.Fence, "worker_fence": w.fence, "right": s.canAct(), "applied": w.lastAppliedEnd, "stored": w.lastCommittedEnd, "acked": w.trace.acked,
 	}
 	if w.trace.ackedBeforeRestart > 0 {
 		fields["acked_before_restart"] = w.trace.ackedBeforeRestart
 	}
+	addAckFields(fields, "late", w.trace.formerAcks, s.opts.Clock())
 	return fields
 }
 
@@ -90,6 +102,8 @@
 	fields["born"], fields["former_born"], fields["seen_in"] = born, former.info.StartedUnixMs, string(seenIn)
 	fields["runs"], fields["former_cpu"] = len(former.attempts), former.info.Capacity.CPU
 	fields["entry_born"] = former.entry.StartedUnixMs
+	addAckFields(fields, "unanswered", former.trace.unansweredAcks, s.opts.Clock())
+	s.addSilenceFields(fields, former)
 	s.recordEvent(eventlog.WorkerRestarted, fields)
 }
 
@@ -98,24 +112,47 @@
 	fields := s.workerFields(w)
 	maps.Copy(fields, e.fields())
 	fields["waited"], fields["registered"], fields["failed_holds"] = (now - s.ownerSince).String(), w.registered, w.failedHolds
-	fields["silent_workers"] = s.silentWorkers()
+	s.addSilenceFields(fields, w)
 	s.recordEvent(eventlog.WorkerWaitExpired, fields)
 }
 
-// recordClaim records the claim of the head row and the owner that wrote it last.
-func (s *Shard) recordClaim(former, claimed *jobpb.Head) {
-	s.recordEvent(eventlog.HeadClaimed, eventlog.Fields{
-		"fence": claimed.Fence, "generation": claimed.Generation,
-		"former_owner": former.Owner, "former_fence": former.Fence, "former_generation": former.Generation, "former_sequence": former.Sequence,
-	})
+// claimOutcome says whether the store has applied the claim of a head row.
+type claimOutcome string
+
+const (
+	claimApplied claimOutcome = "applied"
+	claimUnknown claimOutcome = "unknown" // The claim got no answer; it is read again.
+	claimFound   claimOutcome = "found"   // An earlier claim of this owner was applied.
+)
+
+// recordClaim records the claim of the head row and the owner that wrote it before, as read in
+// the given version. If an earlier claim is found, its line names the former owner.
+func (s *Shard) recordClaim(former, claimed *jobpb.Head, read rows.Version, outcome claimOutcome) {
+	fields := eventlog.Fields{"fence": claimed.Fence, "generation": claimed.Generation, "outcome": string(outcome)}
+	if outcome == claimFound {
+		fields["head"] = read
+	} else {
+		fields["former_owner"], fields["former_fence"], fields["former_generation"] = former.Owner, former.Fence, former.Generation
+		fields["former_sequence"], fields["former_head"] = former.Sequence, read
+	}
+	s.recordEvent(eventlog.HeadClaimed, fields)
+}
+
+// recordFailedClaim records a claim that got no answer and may be applied.
+func (s *Shard) recordFailedClaim(former, claimed *jobpb.Head, read rows.Version, err error) {
+	if !errors.Is(err, rows.ErrNotExecuted) {
+		s.recordClaim(former, claimed, read, claimUnknown)
+	}
 }
 
 // recordLoaded records what the rows of the shard contained.
 func (s *Shard) recordLoaded(generation uint32) {
+	s.trace.loadedHead = s.journal.head
 	done, failures := 0, 0
 	for _, js := range s.jobs {
 		for _, step := range js.steps {
 			done += step.done
+			step.loadedDone = step.done
 			failures += len(step.failedRuns)
 			for _, t := range step.tasks {
 				failures += len(t.failedRuns)
@@ -124,6 +161,15 @@
 	}
 	s.recordEvent(eventlog.ShardLoaded, eventlog.Fields{
 		"fence": s.opts.Fence, "generation": generation, "jobs": len(s.jobs), "queues": len(s.storedQueues), "workers": s.unaccountedWorkers,
-		"done_tasks": done, "failed_runs": failures, "ended_jobs": len(s.ended),
+		"done_tasks": done, "failed_runs": failures, "ended_jobs": len(s.ended), "head": s.journal.head,
 	})
 }
+
+// addInheritedFields adds what the rows told of a step that a former owner has accepted and
+// may have started: the number of its done tasks, and the version of the head row when they
+// were read.
+func (s *Shard) addInheritedFields(fields eventlog.Fields, step *stepState) {
+	if step.job.inherited {
+		fields["inherited"], fields["loaded_done"], fields["loaded_head"] = true, step.loadedDone, s.trace.loadedHead
+	}
+}
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -148,7 +148,7 @@
 	if s.workers[w.info.ID] != w {
 		return
 	}
-	s.recordEvent(eventlog.WorkerGone, eventlog.Fields{"worker": w.info.ID, "reason": reason, "runs": len(w.attempts)})
+	s.recordGone(w, reason)
 	s.removeAttempts(w, workerGone)
 	s.markAccountedFor(w)
 	delete(s.workers, w.info.ID)
@@ -186,7 +186,7 @@
 	}
 	call := &holdCall{sent: s.nextLogicalTime(), fence: order.Fence, renews: order.LeaseExpiry > 0}
 	w.holdInFlight, w.holdSentAt = call, now
-	to := w.target()
+	ack, to := w.trace.noteHoldSent(order, now), w.target()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), order.Wait+lateReplyLimit)
 		defer cancel()
@@ -199,6 +199,7 @@
 			if err == nil {
 				w.ackedEnd = max(w.ackedEnd, order.AckedUpTo)
 			}
+			w.noteAckReply(ack, reply, err)
 			s.handleHoldReply(w, call, reply, err)
 		})
 	}()
@@ -326,7 +327,7 @@
 	}
 	w.failedHolds++
 	if w.failedHolds == 1 {
-		s.recordEvent(eventlog.WorkerUnreachable, eventlog.Fields{"worker": w.info.ID, "error": err, "runs": len(w.attempts)})
+		s.recordUnreachable(w, err)
 	}
 	s.opts.Loop.After(holdRetryDelay, func() { s.sendHold(w) })
 }
