A status shows stalled runs as of when it was taken

Now that late replies are applied, an owner that is late saw more stalled workers than there were: a status that is seconds old lists runs that have ended since, and their age was counted until now. Their stops cost a run that was at work, or put a sound worker into backoff.

The age of the status and of its runs is counted from when the status was taken.

TestStalledRunsStartElsewhere passes as before.

--- a/jobs/shard/lateness_test.go
+++ b/jobs/shard/lateness_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/worker"
 	"peridotcrank.dev/jobs/worker/workertest"
@@ -403,3 +404,23 @@
 		})
 	}
 }
+
+// Guards against a late owner that stops runs on sound workers as stalled, because a status
+// that arrived late still lists them.
+func TestLateStatusShowsNoStalledWorker(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			onFakeTime(t, func(r *rig) {
+				events := codeCounter{}
+				r.recorder = events
+				x := newLateRun(r, rand.New(rand.NewPCG(seed, 0)), 30)
+				x.work(2 * time.Second)
+				x.client.setDelay(uniform(rand.New(rand.NewPCG(seed, 1)), 1500*time.Millisecond, 3*time.Second))
+				x.work(10 * time.Second)
+				x.client.setDelay(nil)
+				x.checkJobs()
+				x.owner.callOnLoop(func() { assert.Equal(t, events[eventlog.WorkerStalled], 0) })
+			})
+		})
+	}
+}
--- a/jobs/shard/stalled.go
+++ b/jobs/shard/stalled.go
@@ -47,7 +47,7 @@
 // its short runs should have ended and none has ended recently. A task is restarted for
 // this reason only once, since the task itself may take long.
 func (s *Shard) stalledRuns(w *workerState, now time.Duration) (stalled []*attempt) {
-	if w.failedHolds > 0 || now-w.clockReadAt > maxRunListAge || now-w.lastRunEndedAt < minStalledAge {
+	if w.failedHolds > 0 || now-w.statusTakenAt > maxRunListAge || now-w.lastRunEndedAt < minStalledAge {
 		return nil
 	}
 	overrunRuns := 0
@@ -55,7 +55,7 @@
 		if a.task == nil || a.phase != running || a.task.step.spec.LongRunning {
 			continue
 		}
-		overrun, isStalled := s.runLag(a, now)
+		overrun, isStalled := s.runLag(a, w.statusTakenAt)
 		if !overrun {
 			return nil
 		}
