Simulated workers: late holds at the next incarnation, listed ends, late starts named

DeliverHoldsToNewIncarnation lets a delayed hold act on a later incarnation; it is off by default, so no existing test changes. NoteListedEnds counts an end as acknowledged 100 ms after a status has listed it (the rule on ends with no disruption near); off by default too. Violations say whether the end was acknowledged or listed, and whether the start itself was carried out late.

--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -20,11 +20,17 @@
 	// Default 6 s.
 	MaxLease time.Duration
 
-	// DeliverToNewIncarnation lets delayed orders reach a later incarnation of the
-	// worker. Holds never do, because they would acknowledge ended runs of that
-	// incarnation.
+	// DeliverToNewIncarnation lets delayed orders other than holds reach a later
+	// incarnation of the worker.
 	DeliverToNewIncarnation bool
 
+	// DeliverHoldsToNewIncarnation is like DeliverToNewIncarnation, for holds.
+	DeliverHoldsToNewIncarnation bool
+
+	// NoteListedEnds makes an end count as acknowledged listedEndNoted after a status has
+	// listed it, if it is set at both times.
+	NoteListedEnds bool
+
 	// AllowSpeculativeRuns permits several runs of a task at the same time.
 	AllowSpeculativeRuns bool
 
--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -28,6 +28,9 @@
 // maxListedEnds is the maximum number of ended runs in a status.
 const maxListedEnds = 500
 
+// listedEndNoted is how long after a status has listed an end it counts as acknowledged.
+const listedEndNoted = 100 * time.Millisecond
+
 const (
 	defaultDelay    = 4 * time.Second
 	defaultMaxLease = 6 * time.Second
@@ -51,7 +54,7 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			reached := f.workers[to.ID]
-			if reached.partitioned || reached != w && (!f.DeliverToNewIncarnation || name == "hold") {
+			if reached.partitioned || reached != w && !f.reachesNewIncarnation(name) {
 				return
 			}
 			f.orderIsLate = true
@@ -73,6 +76,14 @@
 	return clock, err
 }
 
+// reachesNewIncarnation reports whether a delayed order may reach a later incarnation.
+func (f *Fleet) reachesNewIncarnation(name string) bool {
+	if name == "hold" {
+		return f.DeliverHoldsToNewIncarnation
+	}
+	return f.DeliverToNewIncarnation
+}
+
 // Start implements [worker.Client].
 func (f *Fleet) Start(ctx context.Context, to worker.Target, order worker.Start) (worker.ClockTime, error) {
 	return f.deliver(ctx, to, "start", func(w *simulatedWorker) error { return f.startRun(w, order) })
@@ -161,17 +172,38 @@
 		w.endedRuns = w.endedRuns[1:]
 	}
 	w.acked = max(w.acked, upTo)
+	f.markAcknowledged(w, upTo, "acknowledged")
+}
+
+// markAcknowledged marks the ends of done runs up to a number as acknowledged, and records a
+// violation for each task that was started again. how describes the reason.
+func (f *Fleet) markAcknowledged(w *simulatedWorker, upTo uint64, how string) {
 	for _, end := range f.done {
 		if end.worker != w || end.acked || end.void || end.number > upTo {
 			continue
 		}
-		end.acked = true
+		end.acked, end.acknowledgedHow = true, how
 		if end.startedAfter != "" {
-			f.recordViolation("%s", end.startedAfter)
+			f.recordViolation("%s, end %d %s later", end.startedAfter, end.number, how)
 		}
 	}
 }
 
+// noteListed makes listed ends count as acknowledged after listedEndNoted.
+func (f *Fleet) noteListed(w *simulatedWorker, listed []worker.RunEnd) {
+	if !f.NoteListedEnds || len(listed) == 0 {
+		return
+	}
+	upTo := listed[len(listed)-1].Number
+	time.AfterFunc(listedEndNoted, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.NoteListedEnds {
+			f.markAcknowledged(w, upTo, "listed")
+		}
+	})
+}
+
 func (f *Fleet) status(ctx context.Context, w *simulatedWorker) (worker.Status, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -185,6 +217,7 @@
 		return worker.Status{}, ErrNoReply
 	}
 	listed := w.endedRuns[:min(len(w.endedRuns), maxListedEnds)]
+	f.noteListed(w, listed)
 	status := worker.Status{ClockTime: f.clock(w), StartedUnixMs: w.info.StartedUnixMs, EndedRuns: slices.Clone(listed)}
 	for _, r := range w.runs {
 		status.Running = append(status.Running, worker.RunningTask{Task: r.task, Run: r.number, Percent: f.percent(r)})
--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -22,6 +22,8 @@
 	number uint64
 	acked  bool
 	void   bool
+	// acknowledgedHow tells whether the end was acknowledged or counts so as listed.
+	acknowledgedHow string
 	// startedAfter describes a later start of the task. It violates a guarantee if
 	// the end is acknowledged.
 	startedAfter string
@@ -87,9 +89,9 @@
 		return
 	}
 	if end := f.done[order.Task]; end != nil && !end.void {
-		end.startedAfter = fmt.Sprintf("%v run %d starts on %s after it was done on %s", order.Task, order.Run, w.info.ID, end.worker.info.ID)
+		end.startedAfter = fmt.Sprintf("%v run %d starts%s on %s after it was done on %s", order.Task, order.Run, f.lateText(), w.info.ID, end.worker.info.ID)
 		if end.acked {
-			f.recordViolation("%s", end.startedAfter)
+			f.recordViolation("%s, end %d %s before", end.startedAfter, end.number, end.acknowledgedHow)
 		}
 	}
 	for _, other := range f.workers {
@@ -98,11 +100,19 @@
 			f.expireLease(other)
 		}
 		if r := other.runs[order.Task]; r != nil {
-			f.recordViolation("%v run %d starts on %s while run %d is on %s", order.Task, order.Run, w.info.ID, r.number, other.info.ID)
+			f.recordViolation("%v run %d starts%s on %s while run %d is on %s", order.Task, order.Run, f.lateText(), w.info.ID, r.number, other.info.ID)
 		}
 	}
 }
 
+// lateText marks in violations that the order is a delayed one.
+func (f *Fleet) lateText() string {
+	if f.orderIsLate {
+		return " late"
+	}
+	return ""
+}
+
 // checkCapacity records a violation when a run that is about to start brings its worker
 // over its capacity. fence is that of the owner that ordered the start.
 func (f *Fleet) checkCapacity(w *simulatedWorker, started *run, fence uint64) {
