Soak: faults of whole hosts, replies in one direction, late orders and late replies

New kinds: power (all processes are killed together and start again one by one), crowd (all processes or all owners are short of processor together), oneway (an owner's orders arrive, the replies do not), late (a worker restarts, and its next incarnation carries out delayed orders, holds included) and slow (the replies of all workers are late). late and slow are only injected when they are named, since the current code does not survive them. While nothing but shortage of processor or late replies is in force, and 3 s after the last other fault, listed ends count as noted.

The starts of a process that runs already have no effect, since power starts processes later.

--- a/testbed/soak/checks_test.go
+++ b/testbed/soak/checks_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,9 @@
 	"gotest.tools/v3/assert"
 
 	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/rows/rowstest"
+	"peridotcrank.dev/jobs/worker/workertest"
+	"peridotcrank.dev/testbed/standin"
 )
 
 const testJob = job.ID("1c0e7a21d94b36f8")
@@ -141,3 +145,29 @@
 	assert.Equal(t, len(excessUses(running, 2000)), 0)
 	assert.DeepEqual(t, excessUses(append(running, tasks(testJob, 1)...), 2000), map[int]int64{1: 3000})
 }
+
+// Guards against a check that judges listed ends during or shortly after a disturbance, or
+// never.
+func TestCalmEndsWithDisturbance(t *testing.T) {
+	c := &calm{fleet: workertest.New(nil)}
+	c.add(0)
+	assert.Assert(t, c.fleet.NoteListedEnds)
+	c.disturb()
+	c.disturb()
+	c.add(-1)
+	assert.Assert(t, !c.fleet.NoteListedEnds)
+	c.add(-1)
+	assert.Assert(t, c.fleet.NoteListedEnds)
+	assert.Assert(t, !isDisturbance(crowdFault) && isDisturbance(powerFault) && isDisturbance(lateFault))
+}
+
+// Guards against known kinds of faults that no run can inject.
+func TestAllFaultsCanBeInjected(t *testing.T) {
+	r := newCheckedRun(t, correctStatus)
+	r.options.Pools, r.options.Workers = defaultPools, defaultWorkers
+	r.platform = &standin.Platform{Store: &rowstest.Store{}}
+	starters := r.faultStarters(rand.New(rand.NewPCG(1, 1)))
+	for _, name := range append(slices.Clone(faultNames), lateFault, slowFault) {
+		assert.Assert(t, starters[name] != nil, name)
+	}
+}
--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -38,7 +39,10 @@
 		}
 		return rowstest.Fault(r.storeFault.Load())
 	})
-	r.platform.Fleet.SetFault(func(worker.ID, string) workertest.Fault {
+	r.platform.Fleet.SetFault(func(id worker.ID, _ string) workertest.Fault {
+		if r.lateOrders.areDelayed(id) {
+			return workertest.Delayed
+		}
 		if orders.Add(1)%faultyCallInterval != 0 {
 			return workertest.NoFault
 		}
@@ -58,18 +62,34 @@
 	switch name {
 	case outageFault:
 		duration = maxFaultDuration
-	case pauseFault:
+	case pauseFault, crowdFault:
 		duration = randomDuration(rng, minPause, maxPause)
+	case powerFault:
+		duration = minPowerOff
+	case slowFault:
+		duration = randomDuration(rng, minSlow, maxSlow)
+	case lateFault:
+		duration = randomDuration(rng, minLateSpan, maxLateSpan)
 	}
 	startFault := starters[name]
 	if startFault == nil {
 		return
 	}
+	disturbing := isDisturbance(name)
+	if disturbing {
+		r.calm.disturb()
+	}
 	target, endFault := startFault()
 	r.logFault("%s %s for %v", name, target, duration.Round(time.Millisecond))
+	if isMomentary(name) {
+		duration = 0
+	}
 	faults.Go(func() {
 		time.Sleep(duration)
 		endFault()
+		if disturbing {
+			r.calm.settle()
+		}
 	})
 }
 
@@ -78,8 +98,8 @@
 }
 
 var faultNames = []string{
-	pauseFault, "starve", "kill", "stop", "link", "reset", "store", "orders", "dark", "cut", "reborn", restartFault, "configuration", "keys", outageFault,
-	moveFault, "odd",
+	pauseFault, starveFault, "kill", "stop", "link", "reset", "store", "orders", "dark", "cut", "reborn", restartFault, "configuration", "keys", outageFault,
+	moveFault, "odd", powerFault, crowdFault, onewayFault,
 }
 
 // moveFault sends the queue of a pool to another pool and puts it back later.
@@ -88,10 +108,17 @@
 // pauseFault suspends a process. It can last longer than the leases of workers.
 const pauseFault = "pause"
 
+// starveFault makes a process short of CPU.
+const starveFault = "starve"
+
 // restartFault restarts up to half of the workers of a pool under their IDs. Their entries in
 // the registry follow later, one after the other.
 const restartFault = "restart"
 
+// onewayFault cuts the owner of a pool off from the replies of the workers, which carry its
+// orders out.
+const onewayFault = "oneway"
+
 // outageFault disconnects all processes from the store. It always lasts maxFaultDuration, so
 // that calls are sent later than revokeTime after the key that it removes.
 const outageFault = "outage"
@@ -117,9 +144,9 @@
 			p.signal(syscall.SIGSTOP)
 			return p.name, func() { p.signal(syscall.SIGCONT) }
 		},
-		"starve": func() (string, func()) {
+		starveFault: func() (string, func()) {
 			ctx, cancel := context.WithCancel(context.Background())
-			go p.starve(ctx)
+			go p.starve(ctx, mildShortage)
 			return p.name, cancel
 		},
 		"kill": func() (string, func()) {
@@ -140,6 +167,23 @@
 			p.storeProxy.setFault(fault)
 			return fmt.Sprintf("%s %d", p.name, fault), func() { p.storeProxy.setFault(linkHealthy) }
 		},
+		powerFault: func() (string, func()) {
+			r.killAll()
+			return "", func() { r.startAll(rand.New(rand.NewPCG(uint64(faultNumber), 1))) }
+		},
+		slowFault: func() (string, func()) {
+			delay := minSlowReply + time.Duration(faultNumber)*time.Millisecond%(maxSlowReply-minSlowReply)
+			r.platform.SetReplyDelay(delay)
+			return fmt.Sprint("replies after ", delay), func() { r.platform.ClearReplyDelay(delay) }
+		},
+		crowdFault: func() (string, func()) { return r.crowd(faultNumber) },
+		lateFault: func() (string, func()) {
+			r.lateOrders.delay(id, true)
+			return string(id), func() {
+				r.restartWorker(id, standin.Restart{CloseConnections: faultNumber%2 == 0})
+				r.lateOrders.delay(id, false)
+			}
+		},
 		outageFault: func() (string, func()) {
 			r.setStoreLinks(linkDropAll)
 			r.replaceKey(0)
@@ -162,6 +206,10 @@
 			r.platform.CutOwner(pool)
 			return pool, func() { r.platform.ReconnectOwner(pool) }
 		},
+		onewayFault: func() (string, func()) {
+			r.platform.CutReplies(pool)
+			return pool, func() { r.platform.ReconnectOwner(pool) }
+		},
 		"reborn": func() (string, func()) {
 			r.restartWorker(id, standin.Restart{})
 			return string(id), noop
@@ -215,9 +263,14 @@
 	if rng.IntN(2) == 0 {
 		return chosen
 	}
+	return cmp.Or(r.owner(pool), chosen)
+}
+
+// owner returns the process that the head row of a pool names as its owner, or nil.
+func (r *run) owner(pool string) *process {
 	page, err := r.platform.Store.Read(context.Background(), headTable, pool, "")
 	if err != nil || len(page.Rows) == 0 {
-		return chosen
+		return nil
 	}
 	for _, p := range r.processes {
 		// The row names the owner as MEMBER/FENCE.
@@ -225,7 +278,7 @@
 			return p
 		}
 	}
-	return chosen
+	return nil
 }
 
 // setStoreLinks applies a fault to the connections of all processes to the store.
--- a/testbed/soak/process.go
+++ b/testbed/soak/process.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,6 +21,7 @@
 	callersAddress string
 	readyAddress   string
 	storeProxy     *proxy
+	starved        atomic.Bool
 
 	mu          sync.Mutex
 	command     *exec.Cmd
@@ -86,16 +88,27 @@
 	return p, err
 }
 
-const (
-	// starvedSuspension and starvedTurn are how long a process short of CPU is suspended
-	// and runs in turn.
-	starvedSuspension = 80 * time.Millisecond
-	starvedTurn       = 20 * time.Millisecond
+// shortage is how long a process short of CPU is suspended and runs in turn.
+type shortage struct{ suspension, turn time.Duration }
+
+var (
+	mildShortage = shortage{80 * time.Millisecond, 20 * time.Millisecond}
+	// severeShortages let replies miss their time limits: by little CPU time, or by long suspensions.
+	severeShortages = []shortage{
+		{45 * time.Millisecond, 5 * time.Millisecond}, {95 * time.Millisecond, 5 * time.Millisecond}, {195 * time.Millisecond, 5 * time.Millisecond},
+		{700 * time.Millisecond, 5 * time.Millisecond}, {700 * time.Millisecond, 30 * time.Millisecond},
+	}
 )
 
+// start starts the program unless it is running.
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+	default:
+		return nil
+	}
 	p.command = exec.Command(p.binary, "jobs", "--settings", p.settingsFile)
 	p.command.Stdout, p.command.Stderr = p.logFile, p.logFile
 	if err := p.command.Start(); err != nil {
@@ -126,12 +139,17 @@
 }
 
 // starve suspends the process for most of the time until ctx ends, as on a VM short of CPU.
-func (p *process) starve(ctx context.Context) {
+// It does nothing if the process is already short of CPU.
+func (p *process) starve(ctx context.Context, s shortage) {
+	if !p.starved.CompareAndSwap(false, true) {
+		return
+	}
+	defer p.starved.Store(false)
 	for ctx.Err() == nil {
 		p.signal(syscall.SIGSTOP)
-		pause(ctx, starvedSuspension)
+		pause(ctx, s.suspension)
 		p.signal(syscall.SIGCONT)
-		pause(ctx, starvedTurn)
+		pause(ctx, s.turn)
 	}
 }
 
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -70,6 +71,8 @@
 	keys       *keyring     // Nil without workspaces.
 	storeFault atomic.Int32 // The rowstest.Fault that a share of the commits gets.
 	orderFault atomic.Int32 // The workertest.Fault that a share of the orders to workers gets.
+	lateOrders lateOrders
+	calm       *calm
 	routes     routes
 	faultLog   []string
 	startedAt  time.Time
@@ -107,6 +110,12 @@
 	}
 	r.platform.Fleet.CheckCapacity(func(job.TaskRef) job.Resources { return job.Resources{CPU: taskCPU, MemoryMB: taskMemoryMB} })
 	r.installFaults()
+	r.calm = &calm{fleet: r.platform.Fleet}
+	r.calm.add(0)
+	if slices.Contains(r.options.Faults, lateFault) {
+		r.platform.Fleet.Delay = lateDelay
+		r.platform.Fleet.DeliverToNewIncarnation, r.platform.Fleet.DeliverHoldsToNewIncarnation = true, true
+	}
 	capacity := job.Resources{CPU: r.options.WorkerCPU, MemoryMB: standin.Capacity.MemoryMB}
 	for pool := range r.options.Pools {
 		if err := r.platform.AddWorkers(poolName(pool), r.options.Workers, capacity); err != nil {
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,6 +63,20 @@
 	}))
 }
 
+// Guards against lost jobs and tasks that run twice after all processes were killed at the same
+// moment, were short of CPU together or got no replies from workers that carried out their orders.
+func TestHostFaults(t *testing.T) {
+	binary := buildProgram(t)
+	for _, faults := range [][]string{{powerFault, "reborn"}, {crowdFault}, {onewayFault, "cut"}} {
+		t.Run(strings.Join(faults, " "), func(t *testing.T) {
+			t.Parallel()
+			assert.NilError(t, Run(Options{
+				Binary: binary, Dir: t.TempDir(), Seed: 1, Duration: shortRun, Pools: 2, FaultGap: 800 * time.Millisecond, Faults: faults,
+			}))
+		})
+	}
+}
+
 // Guards against a soak that ends with a panic or does not end when a program cannot be
 // started.
 func TestProgramThatCannotStart(t *testing.T) {
--- a/testbed/standin/workers.go
+++ b/testbed/standin/workers.go
@@ -68,14 +68,15 @@
 			return
 		}
 		pool := o.to.info.Pool
-		if p.isCut(pool, o.Fence) {
+		if _, ordersCut := p.findCut(pool, o.Fence); ordersCut {
 			abortWithoutReply(r)
 		}
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
 		defer context.AfterFunc(o.to.ctx, cancel)()
 		body, err := execute(ctx, o)
-		if p.isCut(pool, o.Fence) {
+		p.delayReply(r.Context())
+		if repliesCut, _ := p.findCut(pool, o.Fence); repliesCut {
 			abortWithoutReply(r)
 		}
 		for known, reason := range refusalReasons {
