--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -182,9 +183,9 @@
 		if end.worker != w || end.acked || end.void || end.number > upTo {
 			continue
 		}
-		end.acked, end.acknowledgedHow = true, how
+		end.acked, end.acknowledged = true, fmt.Sprintf("end %d %s at %v", end.number, how, f.now())
 		if end.startedAfter != "" {
-			f.recordViolation("%s, end %d %s later", end.startedAfter, end.number, how)
+			f.recordViolation("%s, %s", end.startedAfter, end.acknowledged)
 		}
 	}
 }
--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -18,12 +18,13 @@
 // doneRunEnd records that a run ended as done. It becomes void when the worker's lease
 // expires before the end is acknowledged: the task may then be started again.
 type doneRunEnd struct {
-	worker *simulatedWorker
-	number uint64
-	acked  bool
-	void   bool
-	// acknowledgedHow tells whether the end was acknowledged or counts so as listed.
-	acknowledgedHow string
+	worker  *simulatedWorker
+	number  uint64
+	acked   bool
+	void    bool
+	endedAt time.Duration
+	// acknowledged tells whether the end was acknowledged or counts so as listed, and when.
+	acknowledged string
 	// startedAfter describes a later start of the task. It violates a guarantee if
 	// the end is acknowledged.
 	startedAfter string
@@ -89,9 +90,9 @@
 		return
 	}
 	if end := f.done[order.Task]; end != nil && !end.void {
-		end.startedAfter = fmt.Sprintf("%v run %d starts%s on %s after it was done on %s", order.Task, order.Run, f.lateText(), w.info.ID, end.worker.info.ID)
+		end.startedAfter = fmt.Sprintf("%v run %d starts%s on %s after it was done on %s at %v", order.Task, order.Run, f.lateText(), w.info.ID, end.worker.info.ID, end.endedAt)
 		if end.acked {
-			f.recordViolation("%s, end %d %s before", end.startedAfter, end.number, end.acknowledgedHow)
+			f.recordViolation("%s, %s", end.startedAfter, end.acknowledged)
 		}
 	}
 	for _, other := range f.workers {
@@ -153,7 +154,7 @@
 	delete(w.runs, r.task)
 	w.lastNumber++
 	if outcome == worker.Done {
-		f.done[r.task] = &doneRunEnd{worker: w, number: w.lastNumber}
+		f.done[r.task] = &doneRunEnd{worker: w, number: w.lastNumber, endedAt: f.now()}
 	}
 	w.endedRuns = append(w.endedRuns, worker.RunEnd{Number: w.lastNumber, Task: r.task, Run: r.number, Outcome: outcome})
 	w.wakeHolds()
