--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -27,6 +27,7 @@
 	listed bool // In a status that the worker has sent.
 	acked  bool // Or noted, see [Fleet.NoteListedEnds].
 	void   bool
+	at     time.Duration // When the run ended.
 	// startedAfter describes a later start of the task. It violates a guarantee if
 	// the end is acknowledged.
 	startedAfter string
@@ -67,7 +68,7 @@
 		time.AfterFunc(listedEndNoted, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if !end.acked && !end.void && !w.partitioned && !w.terminated {
+			if f.NoteListedEnds && !end.acked && !end.void && !w.partitioned && !w.terminated {
 				f.noteDone(end)
 			}
 		})
@@ -119,7 +120,7 @@
 		return
 	}
 	if end := f.done[order.Task]; end != nil && !end.void {
-		end.startedAfter = fmt.Sprintf("%v run %d starts on %s after it was done on %s", order.Task, order.Run, w.info.ID, end.worker.info.ID)
+		end.startedAfter = fmt.Sprintf("%v run %d starts%s on %s after it was done on %s at %v", order.Task, order.Run, f.lateText(), w.info.ID, end.worker.info.ID, end.at)
 		if end.acked {
 			f.recordViolation("%s", end.startedAfter)
 		}
@@ -130,11 +131,19 @@
 			f.expireLease(other)
 		}
 		if r := other.runs[order.Task]; r != nil {
-			f.recordViolation("%v run %d starts on %s while run %d is on %s", order.Task, order.Run, w.info.ID, r.number, other.info.ID)
+			f.recordViolation("%v run %d starts%s on %s while run %d is on %s", order.Task, order.Run, f.lateText(), w.info.ID, r.number, other.info.ID)
 		}
 	}
 }
 
+// lateText marks in violations that the order is a delayed one.
+func (f *Fleet) lateText() string {
+	if f.orderIsLate {
+		return " late"
+	}
+	return ""
+}
+
 // checkCapacity records a violation when a run that is about to start brings its worker
 // over its capacity. fence is that of the owner that ordered the start.
 func (f *Fleet) checkCapacity(w *simulatedWorker, started *run, fence uint64) {
@@ -175,7 +184,7 @@
 	delete(w.runs, r.task)
 	w.lastNumber++
 	if outcome == worker.Done {
-		f.done[r.task] = &doneRunEnd{worker: w, number: w.lastNumber}
+		f.done[r.task] = &doneRunEnd{worker: w, number: w.lastNumber, at: f.now()}
 	}
 	w.endedRuns = append(w.endedRuns, worker.RunEnd{Number: w.lastNumber, Task: r.task, Run: r.number, Outcome: outcome})
 	w.wakeHolds()
