Replies of other workers count as prompt within half of the silence limit

With a limit of 400 ms, an owner whose replies take up to 0.9 s found that most other workers were late too, and did not start the tasks of workers that were cut off. A silent worker is given 2 s, so a reply within 1 s of another worker shows that the owner would have seen one.

--- a/jobs/shard/lateness_test.go
+++ b/jobs/shard/lateness_test.go
@@ -356,6 +356,24 @@
 	}
 }
 
+// Guards against an owner with moderately late replies that never concludes that workers are
+// silent.
+func TestTasksOfCutWorkersStartAgainWithLateReplies(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			onFakeTime(t, func(r *rig) {
+				client := &lateClient{Fleet: r.fleet}
+				r.client = client
+				o := startLongTasks(r)
+				r.cutBusiestWorkers(o, cutTestWorkers/3)
+				client.setDelay(uniform(rand.New(rand.NewPCG(seed, 1)), 0, 3*holdTimeout/2))
+				time.Sleep(restartBound)
+				assert.Equal(t, r.fleet.Running(), 2*cutTestWorkers)
+			})
+		})
+	}
+}
+
 // shortestLongPause is a pause after which no reply to an earlier call is awaited any more.
 const shortestLongPause = 3 * time.Second
 
--- a/jobs/shard/silence.go
+++ b/jobs/shard/silence.go
@@ -20,6 +20,9 @@
 	silenceLead = silenceLimit - orderTimeout
 	// referenceInterval is the time between two rounds of queries to other workers during a check.
 	referenceInterval = 500 * time.Millisecond
+	// referenceLimit is how long a reply of another worker may take: well under the time that a
+	// silent one is given.
+	referenceLimit = silenceLimit / 2
 	// maxReferences is the number of workers that are queried in a round.
 	maxReferences = 3
 	// silenceRecordInterval is the minimum time between two events about checks without a result.
@@ -75,7 +78,7 @@
 		}
 	}
 	for _, round := range m.rounds {
-		if round.sentAt >= since && now-round.sentAt >= orderTimeout {
+		if round.sentAt >= since && now-round.sentAt >= referenceLimit {
 			e.asked, e.prompt = e.asked+round.asked, e.prompt+round.prompt
 			e.byStore = e.byStore || round.byStore
 		}
@@ -171,12 +174,12 @@
 	round := &referenceRound{sentAt: s.opts.Clock()}
 	s.replies.rounds = append(s.replies.rounds, round)
 	noteReply := func(err error) {
-		if err == nil && s.opts.Clock()-round.sentAt <= orderTimeout {
+		if err == nil && s.opts.Clock()-round.sentAt <= referenceLimit {
 			round.prompt++
 		}
 	}
 	for _, w := range s.workers {
-		if round.asked < maxReferences && w.failedHolds == 0 && w.clock > 0 && s.queryStatus(w, orderTimeout, noteReply) {
+		if round.asked < maxReferences && w.failedHolds == 0 && w.clock > 0 && s.queryStatus(w, referenceLimit, noteReply) {
 			round.asked++
 		}
 	}
@@ -189,7 +192,7 @@
 // queryStore reads the head row and passes the outcome to done.
 func (s *Shard) queryStore(done func(error)) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), referenceLimit)
 		defer cancel()
 		key := s.headKey()
 		_, err := s.opts.Store.Read(ctx, key.Table, key.Part, key.Name)
