A late upkeep order of a killed owner keeps its wave's cap

Callers saw LIMIT: an upkeep order of the fleet's owner got no answer and its sender was killed. The platform carried the order out seconds later, while the next owner had another VM of the wave down. Fences apply to each VM separately, so an order for another VM did not stop the late one.

Cause: the progress of the wave named a VM only after the platform had answered, so the next owner did not know of the order.

The progress row (WaveProgress.ordered) now names a VM before its order is sent. A next owner counts these VMs toward the cap at once, vacates them and orders them again with its higher fence; the platform refuses the late order or answers that it is done. A refusal ends an open order only if no earlier one is unanswered.

--- a/jobs/maintenance/manager.go
+++ b/jobs/maintenance/manager.go
@@ -114,7 +114,7 @@
 func (m *Manager) SetWaves(waves []Wave) {
 	for _, w := range waves {
 		if m.waves[w.Number] == nil {
-			m.waves[w.Number] = &waveProgress{Wave: w, done: map[string]bool{}}
+			m.waves[w.Number] = newWaveProgress(w)
 			m.loadWave(m.waves[w.Number])
 		}
 	}
@@ -151,16 +151,23 @@
 	if len(m.machines) == 0 {
 		return
 	}
+	var active []*waveProgress
+	for _, w := range m.waves {
+		// The list shows which orders of former owners were carried out, the progress which
+		// may be carried out later.
+		if w.loaded && !w.completed && m.listIsCurrent() {
+			active = append(active, w)
+			m.repeatUnanswered(w, now)
+		}
+	}
 	s := Snapshot{
 		Now: now, Machines: m.machines, SparePool: m.sparePool, Demands: m.demands, Pending: map[string]Decision{},
 	}
 	for name, op := range m.operations {
 		s.Pending[name] = op.Decision
 	}
-	for _, w := range m.waves {
-		if w.loaded && !w.completed && m.listIsCurrent() {
-			s.Waves = append(s.Waves, m.waveState(w, now))
-		}
+	for _, w := range active {
+		s.Waves = append(s.Waves, m.waveState(w, now))
 	}
 	for _, d := range Plan(s) {
 		m.startOperation(d, now)
--- a/jobs/maintenance/manager_test.go
+++ b/jobs/maintenance/manager_test.go
@@ -186,6 +186,7 @@
 		fleet, store, l := &contestedVMs{simulatedVMs: newSimulatedVMs(1)}, &rowstest.Store{Latency: 4 * time.Millisecond}, loop.New()
 		go l.Run(ctx)
 		o := testOptions(fleet, fleet, store, l)
+		store.Put(rows.Row{Key: o.OwnerKey}) // Orders are sent by the owner only.
 		o.Fence = 1
 		m, err := New(o)
 		assert.NilError(t, err)
--- a/jobs/maintenance/operations.go
+++ b/jobs/maintenance/operations.go
@@ -63,15 +63,15 @@
 // no longer up or a move waits too long.
 func (m *Manager) checkVacated(op *operation, now time.Duration) {
 	if op.machine.State != Up {
-		delete(m.operations, op.Machine)
+		m.dropOperation(op)
 		return
 	}
 	if m.isVacated(&op.machine, now) {
-		m.sendOrder(op)
+		m.requestOrder(op)
 		return
 	}
 	if op.Kind == Move && now-op.startedAt > moveVacateTimeout {
-		delete(m.operations, op.Machine)
+		m.dropOperation(op)
 		m.backoffUntil[op.Machine] = now + backoff
 	}
 }
@@ -134,7 +134,11 @@
 	case errors.Is(err, ErrBusy), errors.Is(err, ErrFenced), errors.Is(err, ErrNotDue), errors.Is(err, ErrInvalid):
 		fields["error"] = err
 		m.o.Recorder.Record(eventlog.MachineOrderRefused, fields)
-		delete(m.operations, op.Machine)
+		if errors.Is(err, ErrNotDue) || errors.Is(err, ErrInvalid) {
+			// The platform refuses an earlier order of the operation as well.
+			m.settleOrder(op)
+		}
+		m.dropOperation(op)
 		m.backoffUntil[op.Machine] = now + backoff
 		m.listedAt = 0
 	default:
@@ -142,6 +146,7 @@
 		// later orders for the VM carry a higher one.
 		fields["error"] = err
 		m.o.Recorder.Record(eventlog.MachineOrderUnanswered, fields)
+		m.markUnanswered(op, now)
 		m.o.Loop.After(retryDelay, func() { m.retryOrder(op) })
 	}
 }
@@ -167,6 +172,7 @@
 		if w := m.waves[op.Wave]; w != nil {
 			w.done[op.Machine] = true
 			w.unsaved = true
+			w.settle(op.Machine)
 			m.saveWave(w)
 		}
 	}
@@ -191,6 +197,6 @@
 	op := &operation{Decision: d, machine: machine, startedAt: now}
 	m.operations[d.Machine] = op
 	if machine.Pool == m.sparePool {
-		m.sendOrder(op)
+		m.requestOrder(op)
 	}
 }
