Orders after an acknowledgement have a higher fence

A task that runs once could still start again after its end was acknowledged (TWICE), when a worker restarts without breaking its connections. The owner then learns of the restart 1.4 s later. Until then it starts tasks on the next incarnation, with the fence of a hold that has no reply; carried out late, the hold forgets the ends of these runs.

The fence of a worker's orders now rises by one after each hold with an acknowledgement, up to the version of the last transaction. An incarnation that executes a later start refuses the hold. If the hold arrives after the start, it is refused too, and sent again as superseded. No more calls otherwise.

Simulated workers compare owners instead of fences when they tell which capacity an owner knew (AddOwner): with fences that rise within an ownership, CheckCapacity would have accepted the capacity of a former incarnation that the owner knew to be gone.

What remains: a start that is itself carried out late, on an incarnation that its owner has not called yet. Ends of a hold that changed no row can be acknowledged while the fence has reached the last version; it then stays.

--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -108,6 +108,16 @@
 	s.requestStatus(w)
 }
 
+// supersedeHolds gives the later orders to a worker a higher fence than the hold that was just
+// sent. If the worker has restarted and nobody knows yet, an incarnation that executes a later
+// start refuses the hold, which may be late and would acknowledge the end of the run. Fences
+// stay below that of the next owner, as they do not exceed the version of the last transaction.
+func (s *Shard) supersedeHolds(w *workerState) {
+	if w.fence < s.journal.head {
+		w.fence++
+	}
+}
+
 // hasOwnFence reports whether the orders to this incarnation have a higher fence than those to
 // the former one.
 func (w *workerState) hasOwnFence() bool { return w.fence > w.formerFence }
--- a/jobs/shard/latehold_test.go
+++ b/jobs/shard/latehold_test.go
@@ -95,13 +95,13 @@
 	})
 }
 
-// restart restarts a worker in the fleet, breaks its connections, and passes its number and
-// its next entry to list.
-func (x *lateHoldRig) restart(id worker.ID, list func(n int, info worker.Info)) {
+// restart restarts a worker in the fleet by start, and passes its number and its next entry to
+// list.
+func (x *lateHoldRig) restart(id worker.ID, start func(worker.Info), list func(n int, info worker.Info)) {
 	n := slices.IndexFunc(x.workerInfos, func(info worker.Info) bool { return info.ID == id })
 	info := x.incarnation(n)
 	info.StartedUnixMs++
-	x.fleet.Restart(info)
+	start(info)
 	list(n, info)
 }
 
@@ -122,31 +122,47 @@
 		rounds, workers = 8, 3
 		holdDelay       = 1500 * time.Millisecond
 		restartLag      = 200 * time.Millisecond
+		silentLag       = 2 * time.Second
+		silentDelay     = 900 * time.Millisecond // Before the owner knows of the restart.
 		jobsPerRound    = 40
 		jobInterval     = 100 * time.Millisecond
 		tasksPerWorker  = 16
-		tasksPerJob     = 16
+		busyTasks       = 16 // Tasks of a job.
+		silentTasks     = 6  // Leave capacity, so that tasks start before the restart is known.
 	)
-	onFakeTime(t, func(r *rig) {
-		x := newLateHoldRig(r, rand.New(rand.NewPCG(1, 0)), rounds*jobsPerRound)
-		r.fleet.SetDelay(func(worker.ID, string) time.Duration { return holdDelay })
-		x.start(workers, tasksPerWorker)
-		for n := range x.jobs {
-			if n%jobsPerRound == 0 {
-				x.arm(n / jobsPerRound % workers)
-			}
-			x.submitAsync(n, tasksPerJob)
-			x.wait(jobInterval)
-			select {
-			case id := <-x.delayed:
-				x.wait(restartLag - jobInterval)
-				x.restart(id, func(n int, info worker.Info) { x.setRegistryEntry(x.owner, n, info) })
-			default:
-			}
-		}
-		x.awaitJobs()
-		x.fleet.WithLock(func() { assert.Equal(t, x.holds, rounds) })
-	})
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent %t", silent), func(t *testing.T) {
+			onFakeTime(t, func(r *rig) {
+				x := newLateHoldRig(r, rand.New(rand.NewPCG(1, 0)), rounds*jobsPerRound)
+				r.fleet.SetDelay(func(worker.ID, string) time.Duration { return holdDelay })
+				x.start(workers, tasksPerWorker)
+				tasksPerJob := busyTasks
+				if silent {
+					tasksPerJob = silentTasks
+					r.fleet.SetDelay(func(worker.ID, string) time.Duration { return silentDelay })
+				}
+				for n := range x.jobs {
+					if n%jobsPerRound == 0 {
+						x.arm(n / jobsPerRound % workers)
+					}
+					x.submitAsync(n, tasksPerJob)
+					x.wait(jobInterval)
+					select {
+					case id := <-x.delayed:
+						x.wait(restartLag - jobInterval)
+						if silent { // The calls in flight get no reply, and the registry is late.
+							x.restart(id, x.fleet.Add, func(_ int, info worker.Info) { x.listAt(time.Now().Add(silentLag), info) })
+						} else {
+							x.restart(id, x.fleet.Restart, func(n int, info worker.Info) { x.setRegistryEntry(x.owner, n, info) })
+						}
+					default:
+					}
+				}
+				x.awaitJobs()
+				x.fleet.WithLock(func() { assert.Equal(t, x.holds, rounds) })
+			})
+		})
+	}
 }
 
 // Guards against the same, and against leases that such a hold makes longer than the owner
@@ -181,7 +197,11 @@
 		select {
 		case id := <-x.delayed:
 			x.wait(time.Duration(rng.Int64N(int64(maxRestartLag))))
-			x.restart(id, func(_ int, info worker.Info) { x.listLater(info) })
+			start := x.fleet.Restart // Breaks its connections.
+			if rng.IntN(2) == 0 {
+				start = x.fleet.Add // The calls in flight get no reply.
+			}
+			x.restart(id, start, func(_ int, info worker.Info) { x.listLater(info) })
 		default:
 		}
 		if rng.IntN(40) == 0 {
--- a/jobs/shard/random_test.go
+++ b/jobs/shard/random_test.go
@@ -231,8 +231,12 @@
 
 // listLater lists the entry of a worker in the registry after a random time.
 func (x *faultRun) listLater(info worker.Info) {
-	lag := time.Duration(x.rng.Int64N(int64(maxRegistryLag)))
-	x.lateEntries = append(x.lateEntries, lateEntry{time.Now().Add(lag), info})
+	x.listAt(time.Now().Add(time.Duration(x.rng.Int64N(int64(maxRegistryLag)))), info)
+}
+
+// listAt lists the entry of a worker in the registry at a time.
+func (x *faultRun) listAt(at time.Time, info worker.Info) {
+	x.lateEntries = append(x.lateEntries, lateEntry{at, info})
 	slices.SortStableFunc(x.lateEntries, func(a, b lateEntry) int { return a.at.Compare(b.at) })
 }
 
--- a/jobs/shard/rig_test.go
+++ b/jobs/shard/rig_test.go
@@ -151,6 +151,7 @@
 // startOwnerOf starts a new owner of a pool. configure is called before the owner starts.
 func (r *rig) startOwnerOf(pool string, configure func(*Shard)) *owner {
 	r.fence = r.store.TakeVersion()
+	r.fleet.AddOwner(r.fence)
 	o := &owner{rig: r, loop: r.loop}
 	o.ownsShard.Store(true)
 	if r.separateLoops {
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -187,6 +187,9 @@
 	call := &holdCall{sent: s.nextLogicalTime(), fence: order.Fence, renews: order.LeaseExpiry > 0}
 	w.holdInFlight, w.holdSentAt = call, now
 	ack, to := w.trace.noteHoldSent(order, now), w.target()
+	if order.AckedUpTo > 0 {
+		s.supersedeHolds(w)
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), order.Wait+lateReplyLimit)
 		defer cancel()
--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -47,6 +47,7 @@
 	chooseHoldFault func(worker.ID, worker.Hold) Fault
 	chooseDelay     func(id worker.ID, order string) time.Duration
 	replyDelay      func(worker.ID) time.Duration
+	owners          []uint64 // First fences of the owners.
 	createdAt       time.Time
 	workers         map[worker.ID]*simulatedWorker
 	done            map[job.TaskRef]*doneRunEnd
@@ -138,6 +139,27 @@
 	f.chooseHoldFault = choose
 }
 
+// AddOwner announces the first fence of a next owner of the workers. The fences up to that of
+// the owner after it are those of its orders. Without owners, each fence counts as an owner.
+func (f *Fleet) AddOwner(firstFence uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.owners = append(f.owners, firstFence)
+}
+
+// ownerOf returns the first fence of the owner that has a fence.
+func (f *Fleet) ownerOf(fence uint64) (first uint64) {
+	if len(f.owners) == 0 {
+		return fence
+	}
+	for _, owner := range f.owners {
+		if owner <= fence {
+			first = max(first, owner)
+		}
+	}
+	return first
+}
+
 // SetDelay sets the function that returns the time until a delayed order is executed; nil
 // for Delay.
 func (f *Fleet) SetDelay(delay func(id worker.ID, order string) time.Duration) {
--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -145,15 +145,15 @@
 	for _, r := range w.runs {
 		used = used.Plus(f.reservedBy(r.task))
 	}
-	if !used.Fits(w.info.Capacity) && !used.Fits(w.capacityKnownTo(fence)) {
+	if !used.Fits(w.info.Capacity) && !used.Fits(f.capacityKnownTo(w, fence)) {
 		f.recordViolation("%v run %d brings %s to %+v, over its capacity of %+v", started.task, started.number, w.info.ID, used, w.info.Capacity)
 	}
 }
 
 // capacityKnownTo returns the capacity of the last incarnation that sent a status to the
 // owner with the given fence. The owner cannot know that a later one has less.
-func (w *simulatedWorker) capacityKnownTo(fence uint64) job.Resources {
-	for w.reportedTo < fence && w.former != nil {
+func (f *Fleet) capacityKnownTo(w *simulatedWorker, fence uint64) job.Resources {
+	for f.ownerOf(w.reportedTo) < f.ownerOf(fence) && w.former != nil {
 		w = w.former
 	}
 	return w.info.Capacity
