A worker that the owner has forgotten gets a fence of its own when it returns

Two faults, found by review. A worker that restarted, was cut off, dropped by the registry and forgotten came back with the fence of the ownership, which it refused; the owner took that for another owner and relinquished the pool. And a hold without a reply, sent before the worker was forgotten, acknowledged ends of its next incarnation (TWICE), since the fences were equal.

A worker that is added counts as one that may have seen all fences up to the last transaction; the transaction of its row raises its fence.

--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -44,6 +44,9 @@
 	w := s.workers[info.ID]
 	if w == nil {
 		w = s.addWorker(info)
+		// This owner may have used a worker with this ID before and have forgotten it since. All its
+		// fences up to now are at most the last version.
+		w.fence, w.formerFence = s.journal.head, s.journal.head
 		w.accountedFor = true // A worker that is not in the rows was never used by a former owner.
 		w.trace.knownFromFirstEnd = true
 		s.stopUnansweredStarts(w, nil)
