No worker counts as dropped by the registry before that was read

A process that takes over its first pool has not read the registry. While it was late, it took all workers for dropped and gave their runs up by the evidence of the store alone (TWICE).

--- a/jobs/shard/lateness_test.go
+++ b/jobs/shard/lateness_test.go
@@ -442,3 +442,28 @@
 		})
 	}
 }
+
+// Guards against a new owner that has not read the registry and is late: no worker counts as
+// dropped by the registry before that.
+func TestLateTakeoverWithoutRegistryRestartsNoEndedTask(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		onFakeTime(t, func(r *rig) {
+			rng := rand.New(rand.NewPCG(seed, 0))
+			x := newLateRun(r, rng, 20+rng.IntN(41))
+			x.work(2 * time.Second)
+			x.owner.callOnLoop(x.owner.Stop)
+			infos := r.workerInfos
+			r.workerInfos = nil
+			x.client = &lateClient{Fleet: x.fleet}
+			x.rig.client = x.client
+			x.client.setDelay(uniform(rand.New(rand.NewPCG(seed, 1)), 2*shortestLongPause, 3*shortestLongPause))
+			x.owner = r.startOwnerOf(testPool, func(s *Shard) { s.registry, s.registryRead = nil, false })
+			r.workerInfos = infos
+			x.work(10 * time.Second)
+			x.client.setDelay(uniform(rand.New(rand.NewPCG(seed, 2)), 0, 2*holdTimeout))
+			r.publishRegistry(x.owner)
+			x.work(3 * time.Second)
+			x.checkJobs()
+		})
+	}
+}
--- a/jobs/shard/silence.go
+++ b/jobs/shard/silence.go
@@ -134,7 +134,7 @@
 		return
 	}
 	e := s.replies.evidence(began, now)
-	if !e.showsSilence(len(s.workers) == 1, w.registered) {
+	if !e.showsSilence(len(s.workers) == 1, w.registered || !s.registryRead) {
 		s.recordSilenceUnproven(w, e, now)
 		return
 	}
