The refusal of a start by another worker at the former address does not end the next incarnation

The runs of a live worker were given up when a start for its former incarnation was answered late by another worker (421). Older than the fences, found by review: TestRefusalOfFormerIncarnationKeepsNextOne failed.

--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -111,6 +111,8 @@
 	case errors.Is(err, worker.ErrFenced):
 		s.relinquish("a worker has seen a higher fence")
 		return
+	case errors.Is(err, worker.ErrReplaced) && a.movedFrom != nil:
+		// The former incarnation has ended, which is known.
 	case errors.Is(err, worker.ErrReplaced):
 		s.removeWorker(a.worker, "replaced")
 	case errors.Is(err, worker.ErrStaleRun):
