A transaction names the row of a worker once

A worker that restarted twice while a transaction was out had two rows in the next one. The platform does not say what it does then; a refused transaction is repeated for good.

--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -248,6 +248,9 @@
 	for len(j.workerRows) > 0 && !b.full() {
 		w := j.workerRows[0]
 		j.workerRows = j.workerRows[1:]
+		if s.workers[w.info.ID] != w {
+			continue // It was removed, or the row of its next incarnation follows.
+		}
 		record := &jobpb.KnownWorker{Address: w.info.Address, BornUnixMs: w.info.StartedUnixMs}
 		if err := b.setRow(s.rowKey(tableWorker, string(w.info.ID)), record); err != nil {
 			return err
