Silent workers are queried together with those that are compared with them

A check that began while all replies were late could end just after they were in time again: the replies of other workers counted, while the only query to the silent worker had been sent before.

--- a/jobs/shard/silence.go
+++ b/jobs/shard/silence.go
@@ -163,7 +163,8 @@
 }
 
 // queryReferences queries workers that have replied, or else the store, while the silence of
-// others is checked.
+// others is checked. Those are queried at the same time: a query to them that was sent while
+// replies were late in general does not count against them.
 func (s *Shard) queryReferences(now time.Duration) {
 	if s.replies.checks == 0 || !s.canAct() {
 		return
@@ -179,6 +180,10 @@
 		}
 	}
 	for _, w := range s.workers {
+		if w.confirmingLeaseExpiry {
+			s.queryStatus(w, silenceLimit, func(error) {})
+			continue
+		}
 		if round.asked < maxReferences && w.failedHolds == 0 && w.clock > 0 && s.queryStatus(w, referenceLimit, noteReply) {
 			round.asked++
 		}
