--- a/jobs/shard/silence.go
+++ b/jobs/shard/silence.go
@@ -102,13 +102,13 @@
 
 // checkSilence begins to check whether a worker is silent, if its runs can be given up then.
 func (s *Shard) checkSilence(w *workerState, now time.Duration) {
-	if w.confirmingLeaseExpiry || !s.endsWithoutReply(w, now+silenceLead) || !s.queryStatus(w, silenceLimit, func(error) {}) {
+	if w.checkingSilence || !s.endsWithoutReply(w, now+silenceLead) || !s.queryStatus(w, silenceLimit, func(error) {}) {
 		return
 	}
-	w.confirmingLeaseExpiry = true
+	w.checkingSilence = true
 	s.replies.checks++
 	s.opts.Loop.After(silenceLimit, func() {
-		w.confirmingLeaseExpiry = false
+		w.checkingSilence = false
 		s.replies.checks--
 		s.endSilenceCheck(w, now)
 	})
@@ -178,7 +178,7 @@
 		}
 	}
 	for _, w := range s.workers {
-		if w.confirmingLeaseExpiry {
+		if w.checkingSilence {
 			s.queryStatus(w, silenceLimit, func(error) {})
 			continue
 		}
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -210,18 +210,18 @@
 
 // workerState is the state of one incarnation of a worker.
 type workerState struct {
-	info                  worker.Info
-	registered            bool        // Listed in the platform's registry.
-	entry                 worker.Info // Registry entry that was read last, maybe of another incarnation.
-	rowCommitted          bool        // Its row is committed, so a later owner will query the worker.
-	rowQueued             bool
-	accountedFor          bool          // It replied to this owner, or it does not reply and its leases from former owners have expired.
-	vacateUntil           time.Duration // It gets no new tasks until then.
-	maintenanceDueUntil   time.Duration // Its VM counts as due for maintenance until then.
-	confirmingLeaseExpiry bool          // A check whether it is silent is in progress.
-	statusRequestedAt     time.Duration // When its status was last requested for a starting task.
-	knownSince            time.Duration // When this incarnation became known.
-	restarted             bool          // It may have carried out orders for the former incarnation.
+	info                worker.Info
+	registered          bool        // Listed in the platform's registry.
+	entry               worker.Info // Registry entry that was read last, maybe of another incarnation.
+	rowCommitted        bool        // Its row is committed, so a later owner will query the worker.
+	rowQueued           bool
+	accountedFor        bool          // It replied to this owner, or it does not reply and its leases from former owners have expired.
+	vacateUntil         time.Duration // It gets no new tasks until then.
+	maintenanceDueUntil time.Duration // Its VM counts as due for maintenance until then.
+	checkingSilence     bool          // A check of its silence is in progress.
+	statusRequestedAt   time.Duration // When its status was last requested for a starting task.
+	knownSince          time.Duration // When this incarnation became known.
+	restarted           bool          // It may have carried out orders for the former incarnation.
 	// fence is the fencing token of orders to this incarnation, and formerFence that of orders to
 	// the former one; formerFence is 0 if this owner has sent none.
 	fence, formerFence uint64
