--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -222,8 +222,8 @@
 	statusRequestedAt   time.Duration // When its status was last requested for a starting task.
 	knownSince          time.Duration // When this incarnation became known.
 	restarted           bool          // It may have carried out orders for the former incarnation.
-	// fence is the fencing token of orders to this incarnation, and formerFence that of orders to
-	// the former one; formerFence is 0 if this owner has sent none.
+	// fence is the fencing token of orders to this incarnation. formerFence is at least that of all
+	// orders to former ones, 0 if this owner has sent none.
 	fence, formerFence uint64
 	used               job.Resources
 	attempts           map[runKey]*attempt
