Only a worker that was removed lately counts as restarted when it returns

Every worker that was added waited for a fence of its own. The owner now keeps the fences of the workers that it has removed, for a minute. The tests of returning workers pass.

--- a/jobs/shard/incarnation.go
+++ b/jobs/shard/incarnation.go
@@ -105,7 +105,9 @@
 		return
 	}
 	w.fence = s.journal.head
-	s.requestStatus(w)
+	if w.restarted {
+		s.requestStatus(w) // So that it refuses late orders for the former incarnation from now on.
+	}
 }
 
 // supersedeHolds gives the later orders to a worker a higher fence than the hold that was just
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -124,6 +124,9 @@
 	// maxOrderDelay is the longest time after which an unanswered order may still be
 	// carried out.
 	maxOrderDelay = 15 * time.Second
+	// removedWorkerRetention is how long the fence of a removed worker is kept. It covers the longest
+	// delay of an order and a cut.
+	removedWorkerRetention = 4 * maxOrderDelay
 	// holdWait is how long a worker may delay its reply to a hold while no run ends.
 	// holdWaitIdle applies to a worker without runs.
 	holdWait       = 800 * time.Millisecond
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -38,6 +38,8 @@
 	// answered with Unknown.
 	unreadable map[job.ID]struct{}
 	workers    map[worker.ID]*workerState
+	// removedWorkers are the workers that were removed lately.
+	removedWorkers map[worker.ID]removedWorker
 	// startableSteps are the steps whose tasks are allowed to start, in no particular
 	// order.
 	startableSteps map[*stepState]struct{}
@@ -81,7 +83,7 @@
 	}
 	s := &Shard{
 		opts: opts, queues: Queues{}, storedQueues: map[job.Queue]storedQueue{}, jobs: map[job.ID]*jobState{}, ended: map[job.ID]endedJob{},
-		workers: map[worker.ID]*workerState{}, unansweredStarts: map[worker.ID]map[runKey]unansweredStart{}, startableSteps: map[*stepState]struct{}{}, delayedSteps: map[*stepState]struct{}{},
+		workers: map[worker.ID]*workerState{}, removedWorkers: map[worker.ID]removedWorker{}, unansweredStarts: map[worker.ID]map[runKey]unansweredStart{}, startableSteps: map[*stepState]struct{}{}, delayedSteps: map[*stepState]struct{}{},
 		predictors: map[job.Queue]*scheduler.DurationPredictor{}, starts: newStartWindow(),
 	}
 	if opts.LearnedDurations {
@@ -184,6 +186,7 @@
 	}
 	s.queryReferences(now)
 	s.removeExpiredRecords(now)
+	s.forgetRemovedWorkers(now)
 	s.refuseUnsentJobs()
 	s.checkCaps(now)
 	s.schedulePlacement()
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -44,9 +44,9 @@
 	w := s.workers[info.ID]
 	if w == nil {
 		w = s.addWorker(info)
-		// This owner may have used a worker with this ID before and have forgotten it since. All its
-		// fences up to now are at most the last version.
-		w.fence, w.formerFence = s.journal.head, s.journal.head
+		if former, ok := s.removedWorkers[info.ID]; ok {
+			w.fence, w.formerFence = former.fence, former.fence
+		}
 		w.accountedFor = true // A worker that is not in the rows was never used by a former owner.
 		w.trace.knownFromFirstEnd = true
 		s.stopUnansweredStarts(w, nil)
@@ -146,6 +146,21 @@
 	s.unaccountedWorkers--
 }
 
+// removedWorker is a worker that this owner has removed and that may return under its ID.
+type removedWorker struct {
+	fence uint64 // Of the last orders to it.
+	at    time.Duration
+}
+
+// forgetRemovedWorkers forgets the workers that no order of this owner can reach any more.
+func (s *Shard) forgetRemovedWorkers(now time.Duration) {
+	for id, w := range s.removedWorkers {
+		if now-w.at > removedWorkerRetention {
+			delete(s.removedWorkers, id)
+		}
+	}
+}
+
 // removeWorker removes a worker that has certainly terminated.
 func (s *Shard) removeWorker(w *workerState, reason string) {
 	if s.workers[w.info.ID] != w {
@@ -155,6 +170,7 @@
 	s.removeAttempts(w, workerGone)
 	s.markAccountedFor(w)
 	delete(s.workers, w.info.ID)
+	s.removedWorkers[w.info.ID] = removedWorker{w.fence, s.opts.Clock()}
 	s.deleteWorkerRow(w.info.ID)
 	s.schedulePlacement()
 }
