--- /dev/null
+++ b/review/cases-2/worker.go
@@ -0,0 +1,426 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	heartbeat = 1500 * time.Millisecond
+	maxHold   = 10 * time.Second
+	stopTime  = 50 * time.Millisecond
+	maxListed = 500
+)
+
+type run struct {
+	task    string
+	number  int
+	saved   string
+	entry   *runEntry
+	timer   *time.Timer
+	started time.Time
+	length  time.Duration
+}
+
+type end struct {
+	number uint64
+	run    *run
+	how    string
+}
+
+// worker is a stand-in of one life of a worker. It starts whatever it is told to start.
+type worker struct {
+	fleet   *fleet
+	id      string
+	pool    string
+	address string
+	rack    string
+	cpu     int64
+	server  *http.Server
+	born    time.Time
+
+	mu       sync.Mutex
+	dead     bool // It has crashed and is silent.
+	state    string
+	fence    uint64
+	lease    time.Duration // On its clock.
+	leaseEnd *time.Timer
+	runs     map[string]*run
+	barred   map[string]int // Highest number stopped or ended, by task.
+	ended    []end
+	lastEnd  uint64
+	changed  chan struct{}
+	seq      int
+}
+
+// fleet holds the workers, and what each of them ran.
+type fleet struct {
+	store  *store
+	ledger *ledger
+	// length returns how long a task works.
+	length func(task string) time.Duration
+
+	mu      sync.Mutex
+	workers []*worker
+}
+
+// add starts a worker of a pool and registers it.
+func (f *fleet) add(pool string, cpu int64) *worker {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fail("listen for a worker: %v", err)
+	}
+	f.mu.Lock()
+	n := len(f.workers)
+	w := &worker{
+		fleet: f, id: fmt.Sprintf("w%02d%s", n, pool), pool: pool, address: listener.Addr().String(), rack: "rack-" + strconv.Itoa(n/4), cpu: cpu,
+		born: time.Now(), state: "ready", runs: map[string]*run{}, barred: map[string]int{}, changed: make(chan struct{}),
+	}
+	f.workers = append(f.workers, w)
+	f.mu.Unlock()
+	w.server = &http.Server{Handler: w.handler()}
+	go w.server.Serve(listener)
+	go w.beat()
+	return w
+}
+
+func (f *fleet) ofPool(pool string) (list []*worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		if w.pool == pool {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// beat writes the entry of the worker regularly, as long as it is up.
+func (w *worker) beat() {
+	for {
+		w.mu.Lock()
+		if w.dead {
+			w.mu.Unlock()
+			return
+		}
+		w.seq++
+		entry := map[string]any{
+			"service": w.pool, "address": w.address, "zone": "zone-a", "version": "1", "slots": 8, "state": w.state, "cold-left-ms": 0, "seq": w.seq,
+			"born": w.born.UnixMilli(), "capacity": map[string]any{"cpu": w.cpu, "mem-mb": 65536, "gpu": 0}, "labels": []string{"a", w.rack},
+		}
+		w.mu.Unlock()
+		w.fleet.store.put("servers", w.id, entry)
+		time.Sleep(heartbeat)
+	}
+}
+
+// crash ends the life of the worker. It answers nothing from now on, and its entry is removed after three heartbeats.
+func (w *worker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = true
+	for name, r := range w.runs {
+		r.timer.Stop()
+		delete(w.runs, name)
+		w.fleet.ledger.noteEnd(w, r, "lost in the crash")
+	}
+	w.ended = nil
+	time.AfterFunc(3*heartbeat, func() { w.fleet.store.remove("servers", w.id) })
+}
+
+func (w *worker) isDead() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dead
+}
+
+func (w *worker) clock() time.Duration { return time.Since(w.born) + time.Second }
+
+type order struct {
+	Task  string  `json:"task"`
+	Run   int     `json:"run"`
+	Spec  string  `json:"spec"`
+	DueMS int64   `json:"due-ms"`
+	Fence uint64  `json:"fence"`
+	Saved string  `json:"saved"`
+	Acked *uint64 `json:"acked-upto"`
+	Wait  int64   `json:"wait-ms"`
+}
+
+func runName(task string, number int) string { return task + "#" + strconv.Itoa(number) }
+
+func (w *worker) handler() http.Handler {
+	mux := http.NewServeMux()
+	for path, serve := range map[string]func(order) (int, string){"/run-start": w.start, "/run-stop": w.stop, "/pace": w.pace} {
+		mux.HandleFunc("POST "+path, func(rw http.ResponseWriter, r *http.Request) {
+			o, ok := w.read(rw, r)
+			if !ok {
+				return
+			}
+			status, reason := serve(o)
+			body := map[string]any{"clock-ms": w.clock().Milliseconds(), "born": w.born.UnixMilli()}
+			if reason != "" {
+				body["reason"] = reason
+			}
+			writeJSON(rw, status, body)
+		})
+	}
+	mux.HandleFunc("POST /hold", func(rw http.ResponseWriter, r *http.Request) {
+		o, ok := w.read(rw, r)
+		if !ok {
+			return
+		}
+		w.hold(rw, r, o)
+	})
+	return mux
+}
+
+func (w *worker) read(rw http.ResponseWriter, r *http.Request) (o order, ok bool) {
+	if w.isDead() {
+		w.fleet.ledger.note("worker %s: is down, %s is not answered", w.id, r.URL.Path)
+		<-r.Context().Done()
+		return o, false
+	}
+	if expected := r.Header.Get("X-Peridotcrank-Expect-Instance"); expected != "" && expected != w.id {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return o, false
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return o, false
+	}
+	return o, true
+}
+
+// passFence reports whether an order may be carried out.
+func (w *worker) passFence(o order) bool {
+	if o.Fence < w.fence {
+		return false
+	}
+	w.fence = o.Fence
+	return true
+}
+
+// extend takes the time of a lease. It never shortens.
+func (w *worker) extend(o order) {
+	due := min(time.Duration(o.DueMS)*time.Millisecond, w.clock()+maxHold)
+	if o.DueMS == 0 || due <= w.lease {
+		return
+	}
+	w.lease = due
+	if w.leaseEnd != nil {
+		w.leaseEnd.Stop()
+	}
+	w.leaseEnd = time.AfterFunc(due-w.clock(), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.clock() < w.lease {
+			return
+		}
+		w.fleet.ledger.noteLapse(w.id)
+		for _, r := range w.runs {
+			w.endLocked(r, "lapsed")
+		}
+	})
+}
+
+func (w *worker) start(o order) (int, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.passFence(o) {
+		return http.StatusConflict, "fence"
+	}
+	if time.Duration(o.DueMS)*time.Millisecond <= w.clock() {
+		return http.StatusConflict, "late"
+	}
+	w.extend(o)
+	name := runName(o.Task, o.Run)
+	if w.runs[name] != nil {
+		return http.StatusOK, ""
+	}
+	if o.Run <= w.barred[o.Task] {
+		return http.StatusConflict, "old"
+	}
+	r := &run{task: o.Task, number: o.Run, saved: o.Saved, started: time.Now(), length: w.fleet.length(o.Task)}
+	r.entry = w.fleet.ledger.noteStart(w, o)
+	w.runs[name] = r
+	r.timer = time.AfterFunc(r.length, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.endLocked(r, "done")
+	})
+	return http.StatusOK, ""
+}
+
+func (w *worker) endLocked(r *run, how string) {
+	name := runName(r.task, r.number)
+	if w.runs[name] != r {
+		return
+	}
+	r.timer.Stop()
+	delete(w.runs, name)
+	w.barred[r.task] = max(w.barred[r.task], r.number)
+	w.lastEnd++
+	w.ended = append(w.ended, end{w.lastEnd, r, how})
+	w.fleet.ledger.noteEnd(w, r, how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *worker) stop(o order) (int, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.passFence(o) {
+		return http.StatusConflict, "fence"
+	}
+	w.barred[o.Task] = max(w.barred[o.Task], o.Run)
+	if r := w.runs[runName(o.Task, o.Run)]; r != nil {
+		time.AfterFunc(stopTime, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.endLocked(r, "stopped")
+		})
+	}
+	return http.StatusOK, ""
+}
+
+func (w *worker) pace(o order) (int, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.passFence(o) {
+		return http.StatusConflict, "fence"
+	}
+	return http.StatusOK, ""
+}
+
+func (w *worker) hold(rw http.ResponseWriter, r *http.Request, o order) {
+	w.mu.Lock()
+	if !w.passFence(o) {
+		w.mu.Unlock()
+		writeJSON(rw, http.StatusConflict, map[string]any{"clock-ms": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "reason": "fence"})
+		return
+	}
+	w.extend(o)
+	if o.Acked != nil {
+		w.ended = slices.DeleteFunc(w.ended, func(e end) bool {
+			if e.number > *o.Acked {
+				return false
+			}
+			w.fleet.ledger.noteAcked(e.run)
+			return true
+		})
+	}
+	changed, waits := w.changed, len(w.ended) == 0 && o.Wait > 0
+	w.mu.Unlock()
+	if waits {
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(o.Wait) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	if w.isDead() {
+		<-r.Context().Done()
+		return
+	}
+	w.mu.Lock()
+	running, ended := []any{}, []any{}
+	for _, r := range w.runs {
+		percent := min(100, int(100*time.Since(r.started)/r.length))
+		running = append(running, []any{r.task, r.number, r.saved, percent, 0})
+	}
+	for _, e := range w.ended[:min(len(w.ended), maxListed)] {
+		ended = append(ended, []any{e.number, e.run.task, e.run.number, e.how, ""})
+	}
+	w.mu.Unlock()
+	writeJSON(rw, http.StatusOK, map[string]any{"clock-ms": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "running": running, "ended": ended})
+}
+
+// runEntry is what the ledger knows of one run.
+type runEntry struct {
+	task, worker, pool string
+	number             int
+	started            time.Time
+	ended              time.Time
+	how                string
+	acked              bool
+	lapsedBeforeAck    bool // The worker's lease lapsed between the end and its acknowledgement.
+}
+
+// ledger records what was sent, answered and run.
+type ledger struct {
+	record *record
+
+	mu   sync.Mutex
+	runs []*runEntry
+}
+
+func (l *ledger) note(format string, args ...any) { l.record.line(format, args...) }
+
+func (l *ledger) noteStart(w *worker, o order) *runEntry {
+	e := &runEntry{task: o.Task, worker: w.id, pool: w.pool, number: o.Run, started: time.Now()}
+	l.mu.Lock()
+	l.runs = append(l.runs, e)
+	l.mu.Unlock()
+	l.note("worker %s of %s: starts %s run %d, fence %d", w.id, w.pool, o.Task, o.Run, o.Fence)
+	return e
+}
+
+func (l *ledger) noteEnd(w *worker, r *run, how string) {
+	l.mu.Lock()
+	r.entry.ended, r.entry.how = time.Now(), how
+	l.mu.Unlock()
+	l.note("worker %s of %s: %s run %d has ended %s", w.id, w.pool, r.task, r.number, how)
+}
+
+func (l *ledger) noteAcked(r *run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.entry.acked = true
+}
+
+func (l *ledger) noteLapse(worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.runs {
+		if e.worker == worker && !e.ended.IsZero() && !e.acked {
+			e.lapsedBeforeAck = true
+		}
+	}
+}
+
+// begun reports whether a task of a job has begun.
+func (l *ledger) begun(job string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.runs, func(e *runEntry) bool { return strings.HasPrefix(e.task, job+".") })
+}
+
+// ranTwice lists the tasks that had two runs at the same time, or a run after one that ended done and was
+// acknowledged.
+func (l *ledger) ranTwice() (found []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, a := range l.runs {
+		for _, b := range l.runs[i+1:] {
+			if a.task != b.task {
+				continue
+			}
+			switch {
+			case a.ended.IsZero() || b.started.Before(a.ended):
+				found = append(found, fmt.Sprintf("%s: run %d on %s (%s) and run %d on %s (%s) at the same time", a.task, a.number, a.worker, a.pool, b.number, b.worker, b.pool))
+			case a.how == "done" && a.acked && !a.lapsedBeforeAck:
+				found = append(found, fmt.Sprintf("%s: run %d on %s (%s) had ended done, and run %d started on %s (%s)", a.task, a.number, a.worker, a.pool, b.number, b.worker, b.pool))
+			}
+		}
+	}
+	return found
+}
