Review case 8: a pool stands still after some starts without an answer

Shows that starts without an answer block the acknowledgements of their worker for 15 to 20 s; after 500 listed ends the worker's places stay taken, and jobs have nothing running although all places are free (LOST).

--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]func(*play) (broken []string){
 	"moved-route": movedRoute,
 	"waiting":     waitingCount,
+	"late-starts": lateStarts,
 }
 
 func main() {
--- a/review/cases-2/worker.go
+++ b/review/cases-2/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -46,18 +47,19 @@
 	server  *http.Server
 	born    time.Time
 
-	mu       sync.Mutex
-	dead     bool // It has crashed and is silent.
-	state    string
-	fence    uint64
-	lease    time.Duration // On its clock.
-	leaseEnd *time.Timer
-	runs     map[string]*run
-	barred   map[string]int // Highest number stopped or ended, by task.
-	ended    []end
-	lastEnd  uint64
-	changed  chan struct{}
-	seq      int
+	mu        sync.Mutex
+	dead      bool    // It has crashed and is silent.
+	lateShare float64 // Share of the orders that get no answer and are carried out later.
+	state     string
+	fence     uint64
+	lease     time.Duration // On its clock.
+	leaseEnd  *time.Timer
+	runs      map[string]*run
+	barred    map[string]int // Highest number stopped or ended, by task.
+	ended     []end
+	lastEnd   uint64
+	changed   chan struct{}
+	seq       int
 }
 
 // fleet holds the workers, and what each of them ran.
@@ -102,6 +104,18 @@
 	return list
 }
 
+// openEnds returns how many ends each worker has that are not acknowledged.
+func (f *fleet) openEnds() (counts []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		w.mu.Lock()
+		counts = append(counts, len(w.ended))
+		w.mu.Unlock()
+	}
+	return counts
+}
+
 // beat writes the entry of the worker regularly, as long as it is up.
 func (w *worker) beat() {
 	for {
@@ -164,6 +178,9 @@
 			if !ok {
 				return
 			}
+			if w.delays(path, o, r, func() { serve(o) }) {
+				return
+			}
 			status, reason := serve(o)
 			body := map[string]any{"clock-ms": w.clock().Milliseconds(), "born": w.born.UnixMilli()}
 			if reason != "" {
@@ -177,6 +194,9 @@
 		if !ok {
 			return
 		}
+		if w.delays("/hold", o, r, func() { w.takeHold(o) }) {
+			return
+		}
 		w.hold(rw, r, o)
 	})
 	return mux
@@ -199,6 +219,33 @@
 	return o, true
 }
 
+// setLate sets the share of the orders that get no answer and are carried out later.
+func (w *worker) setLate(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lateShare = share
+}
+
+// Orders without an answer are carried out after 2 to 4 s; the pages allow 2 to 12 s.
+const (
+	minLate = 2 * time.Second
+	maxLate = 4 * time.Second
+)
+
+// delays reports whether an order gets no answer. It is then carried out later.
+func (w *worker) delays(path string, o order, r *http.Request, carryOut func()) bool {
+	w.mu.Lock()
+	late := rand.Float64() < w.lateShare
+	w.mu.Unlock()
+	if !late {
+		return false
+	}
+	w.fleet.ledger.note("worker %s: leaves %s %s run %d unanswered", w.id, path, o.Task, o.Run)
+	time.AfterFunc(minLate+rand.N(maxLate-minLate), carryOut)
+	<-r.Context().Done()
+	return true
+}
+
 // passFence reports whether an order may be carried out.
 func (w *worker) passFence(o order) bool {
 	if o.Fence < w.fence {
@@ -300,12 +347,12 @@
 	return http.StatusOK, ""
 }
 
-func (w *worker) hold(rw http.ResponseWriter, r *http.Request, o order) {
+// takeHold takes the lease and the acknowledgement of a hold, unless its fence is too low.
+func (w *worker) takeHold(o order) bool {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if !w.passFence(o) {
-		w.mu.Unlock()
-		writeJSON(rw, http.StatusConflict, map[string]any{"clock-ms": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "reason": "fence"})
-		return
+		return false
 	}
 	w.extend(o)
 	if o.Acked != nil {
@@ -317,6 +364,15 @@
 			return true
 		})
 	}
+	return true
+}
+
+func (w *worker) hold(rw http.ResponseWriter, r *http.Request, o order) {
+	if !w.takeHold(o) {
+		writeJSON(rw, http.StatusConflict, map[string]any{"clock-ms": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "reason": "fence"})
+		return
+	}
+	w.mu.Lock()
 	changed, waits := w.changed, len(w.ended) == 0 && o.Wait > 0
 	w.mu.Unlock()
 	if waits {
@@ -397,6 +453,38 @@
 	}
 }
 
+// running returns the number of runs of each job that are at work.
+func (l *ledger) running() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := map[string]int{}
+	for _, e := range l.runs {
+		if e.ended.IsZero() {
+			n[jobOf(e.task)]++
+		}
+	}
+	return n
+}
+
+// done returns the number of tasks of each job that have ended done.
+func (l *ledger) done() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	tasks, n := map[string]bool{}, map[string]int{}
+	for _, e := range l.runs {
+		if e.how == "done" && !tasks[e.task] {
+			tasks[e.task] = true
+			n[jobOf(e.task)]++
+		}
+	}
+	return n
+}
+
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // begun reports whether a task of a job has begun.
 func (l *ledger) begun(job string) bool {
 	l.mu.Lock()
