Review case 6: acknowledged jobs are lost when a route is replaced while the store is slow

Shows that a repeated submission is answered 200 while the job of the first one is not stored in the former pool, and that the owner there then refuses it: the job is unknown afterwards (LOST).

--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -29,9 +29,10 @@
 }
 
 var cases = map[string]func(*play) (broken []string){
-	"moved-route": movedRoute,
-	"waiting":     waitingCount,
-	"late-starts": lateStarts,
+	"moved-route":  movedRoute,
+	"waiting":      waitingCount,
+	"late-starts":  lateStarts,
+	"pending-move": pendingMove,
 }
 
 func main() {
--- a/review/cases-2/store.go
+++ b/review/cases-2/store.go
@@ -12,7 +12,9 @@
 
 // Limits and times of the stand-in of the table service, as the users' pages state them.
 const (
-	txTime        = 3 * time.Millisecond
+	txTime        = 3 * time.Millisecond // Of one transaction in its part.
+	replyTime     = 4 * time.Millisecond // Of an answer, with the transaction.
+	maxPartQueue  = time.Second
 	maxTxEntries  = 100
 	maxTxBytes    = 1 << 20
 	maxPageRows   = 500
@@ -41,10 +43,49 @@
 	rows    map[rowKey]wireRow
 	history []wireRow
 	changed chan struct{}
+	// slowness is how many times as long all answers take.
+	slowness  int
+	busyUntil map[string]time.Time // By part.
 }
 
 func newStore() *store {
-	return &store{startedAt: time.Now(), rows: map[rowKey]wireRow{}, changed: make(chan struct{})}
+	return &store{startedAt: time.Now(), rows: map[rowKey]wireRow{}, changed: make(chan struct{}), slowness: 1, busyUntil: map[string]time.Time{}}
+}
+
+func (s *store) setSlowness(times int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowness = times
+}
+
+func (s *store) times(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.slowness) * d
+}
+
+// waitForParts waits until the parts of a transaction, which execute one after the other, have executed it. It
+// reports false if too many wait.
+func (s *store) waitForParts(parts map[string]bool) bool {
+	took := s.times(txTime) * time.Duration(max(1, min(len(parts), 2)))
+	s.mu.Lock()
+	now := time.Now()
+	begins := now
+	for p := range parts {
+		if s.busyUntil[p].After(begins) {
+			begins = s.busyUntil[p]
+		}
+	}
+	if begins.Sub(now) > maxPartQueue {
+		s.mu.Unlock()
+		return false
+	}
+	for p := range parts {
+		s.busyUntil[p] = begins.Add(took)
+	}
+	s.mu.Unlock()
+	time.Sleep(begins.Add(took).Sub(now))
+	return true
 }
 
 // put writes a row as the platform or its operator does.
@@ -117,11 +158,12 @@
 		http.Error(w, "too many entries or parts", http.StatusBadRequest)
 		return
 	}
-	pause := txTime
-	if len(parts) > 1 {
-		pause *= 2
+	if !s.waitForParts(parts) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
 	}
-	time.Sleep(pause)
+	rest := s.times(replyTime - txTime)
+	defer time.Sleep(rest) // The answer leaves when the handler returns.
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	holds, current := true, []wireRow{}
@@ -146,7 +188,7 @@
 
 func (s *store) serveGet(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	time.Sleep(txTime)
+	time.Sleep(s.times(replyTime))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := []wireRow{}
@@ -203,6 +245,7 @@
 		}
 		s.mu.Unlock()
 		if len(list) > 0 || wait == 0 {
+			time.Sleep(s.times(replyTime))
 			writeJSON(w, http.StatusOK, map[string]any{"rows": list, "has-more": false, "ver": version, "now-ms": s.nowMS()})
 			return
 		}
