--- a/review/cases-2/latestarts.go
+++ b/review/cases-2/latestarts.go
@@ -20,6 +20,8 @@
 	idleLimit     = 3 * time.Second
 	calmBefore    = 4 * time.Second
 	checkInterval = 100 * time.Millisecond
+	// maxLate is well under the 12 s that the pages allow, so that the calm begins soon.
+	maxLate = 4 * time.Second
 )
 
 // lateStarts sends jobs of small tasks while workers leave some orders unanswered for some seconds, and looks for jobs
@@ -28,6 +30,7 @@
 	s := newSystem(p.record)
 	defer s.close()
 	s.fleet.length = func(string) time.Duration { return lateTaskTime }
+	s.fleet.maxLate = maxLate
 	for range lateWorkers {
 		s.fleet.add("counterdesk", lateCPU)
 	}
--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -33,6 +33,7 @@
 	"waiting":      waitingCount,
 	"late-starts":  lateStarts,
 	"pending-move": pendingMove,
+	"next-life":    nextLife,
 }
 
 func main() {
--- a/review/cases-2/system.go
+++ b/review/cases-2/system.go
@@ -212,20 +212,26 @@
 	})
 }
 
-// Ports of the processes are below the range from which the kernel takes ports of connections.
+// Ports of the processes are below the range from which the kernel takes ports of connections. Cases that are played at
+// the same time take them from different blocks.
 const (
-	minPort = 20_000
-	maxPort = 32_000
+	minPort    = 20_000
+	portBlock  = 120
+	portBlocks = 100
 )
 
 // takenPorts are the ports that this case has given out.
 var takenPorts = map[int]bool{}
 
 func freePort(ip string) int {
+	first := minPort + os.Getpid()%portBlocks*portBlock
 	for range 1000 {
-		port := minPort + rand.IntN(maxPort-minPort)
+		port := first + rand.IntN(portBlock)
+		if takenPorts[port] {
+			continue
+		}
 		listener, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
-		if err != nil || takenPorts[port] {
+		if err != nil {
 			continue
 		}
 		listener.Close()
--- a/review/cases-2/worker.go
+++ b/review/cases-2/worker.go
@@ -49,7 +49,9 @@
 
 	mu        sync.Mutex
 	dead      bool    // It has crashed and is silent.
+	cut       bool    // No process reaches it; it runs on.
 	lateShare float64 // Share of the orders that get no answer and are carried out later.
+	lateStart int     // Starts that got no answer.
 	state     string
 	fence     uint64
 	lease     time.Duration // On its clock.
@@ -68,6 +70,8 @@
 	ledger *ledger
 	// length returns how long a task works.
 	length func(task string) time.Duration
+	// maxLate is the time after which an order without an answer is carried out at the latest.
+	maxLate time.Duration
 
 	mu      sync.Mutex
 	workers []*worker
@@ -146,13 +150,41 @@
 		w.fleet.ledger.noteEnd(w, r, "lost in the crash")
 	}
 	w.ended = nil
-	time.AfterFunc(3*heartbeat, func() { w.fleet.store.remove("servers", w.id) })
+	time.AfterFunc(3*heartbeat, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.dead {
+			w.fleet.store.remove("servers", w.id)
+		}
+	})
 }
 
-func (w *worker) isDead() bool {
+// isSilent reports whether calls get no answer.
+func (w *worker) isSilent() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.dead
+	return w.dead || w.cut
+}
+
+func (w *worker) lateStarts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lateStart
+}
+
+func (w *worker) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+// restart starts the worker again under its id. It knows nothing of before.
+func (w *worker) restart() {
+	w.mu.Lock()
+	w.dead, w.born, w.fence, w.lease = false, time.Now(), 0, 0
+	w.runs, w.barred, w.ended, w.lastEnd = map[string]*run{}, map[string]int{}, nil, 0
+	w.mu.Unlock()
+	go w.beat()
 }
 
 func (w *worker) clock() time.Duration { return time.Since(w.born) + time.Second }
@@ -203,8 +235,8 @@
 }
 
 func (w *worker) read(rw http.ResponseWriter, r *http.Request) (o order, ok bool) {
-	if w.isDead() {
-		w.fleet.ledger.note("worker %s: is down, %s is not answered", w.id, r.URL.Path)
+	if w.isSilent() {
+		w.fleet.ledger.note("worker %s: is down or cut off, %s is not answered", w.id, r.URL.Path)
 		<-r.Context().Done()
 		return o, false
 	}
@@ -226,22 +258,22 @@
 	w.lateShare = share
 }
 
-// Orders without an answer are carried out after 2 to 4 s; the pages allow 2 to 12 s.
-const (
-	minLate = 2 * time.Second
-	maxLate = 4 * time.Second
-)
+// minLate is the least time after which an order without an answer is carried out.
+const minLate = 2 * time.Second
 
 // delays reports whether an order gets no answer. It is then carried out later.
 func (w *worker) delays(path string, o order, r *http.Request, carryOut func()) bool {
 	w.mu.Lock()
 	late := rand.Float64() < w.lateShare
+	if late && path == "/run-start" {
+		w.lateStart++
+	}
 	w.mu.Unlock()
 	if !late {
 		return false
 	}
 	w.fleet.ledger.note("worker %s: leaves %s %s run %d unanswered", w.id, path, o.Task, o.Run)
-	time.AfterFunc(minLate+rand.N(maxLate-minLate), carryOut)
+	time.AfterFunc(minLate+rand.N(w.fleet.maxLate-minLate), carryOut)
 	<-r.Context().Done()
 	return true
 }
@@ -383,7 +415,7 @@
 			return
 		}
 	}
-	if w.isDead() {
+	if w.isSilent() {
 		<-r.Context().Done()
 		return
 	}
@@ -426,7 +458,7 @@
 	l.mu.Lock()
 	l.runs = append(l.runs, e)
 	l.mu.Unlock()
-	l.note("worker %s of %s: starts %s run %d, fence %d", w.id, w.pool, o.Task, o.Run, o.Fence)
+	l.note("worker %s of %s, born %d: starts %s run %d, fence %d", w.id, w.pool, w.born.UnixMilli(), o.Task, o.Run, o.Fence)
 	return e
 }
 
