A process acquires a shard once: a read from before a takeover does not make it vacant again

Cause: the store may execute a read before the takeover of a shard and its reply may arrive afterwards. It put the former owner's row back, the held shard counted as vacant, the takeover was sent again and rejected, the row that names this process was found, and the listener was told a second time that it had acquired the shard, under the same fence. So two owner objects acted for one shard. Both pass the ownership check and send the same fences. The first one does not know the jobs accepted later: it stops their runs and acknowledges their ends, having nothing to store. Inherited jobs are started by both. When their transactions meet, one gives the shard up, and the process takes it again with the next generation.

Now a shard that the process holds is never vacant for it, rows that are older than its own takeover do not replace that, and an acquisition under the present fence is ignored; under a higher one the former ownership ends first.

--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -324,6 +324,7 @@
 	}
 	m.members, m.owners = members, owners
 	m.releaseLostShards(m.view.version)
+	m.keepOwnTakeovers()
 	m.acquireDelayedTakeovers()
 	m.publishDirectory()
 	m.publishPeers(now)
@@ -343,6 +344,21 @@
 	}
 }
 
+// keepOwnTakeovers keeps the owner rows of takeovers that are newer than the last read: the store may
+// have executed that read before the takeover.
+func (m *Manager) keepOwnTakeovers() {
+	for shard, fence := range m.heldFences {
+		if m.owners[shard].version < fence {
+			m.owners[shard] = m.ownOwnerRow(fence)
+		}
+	}
+}
+
+// ownOwnerRow returns the owner row of a shard that this process has taken over.
+func (m *Manager) ownOwnerRow(fence uint64) ownerRow {
+	return ownerRow{&jobpb.Owner{Member: m.o.Member, Incarnation: m.incarnation}, fence}
+}
+
 // acquireDelayedTakeovers acquires shards whose owner row names this process because of
 // a takeover that got no reply but was applied later.
 func (m *Manager) acquireDelayedTakeovers() {
--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -21,11 +21,13 @@
 // faultyStore, so that faults can affect this member only.
 type member struct {
 	*Manager
-	name      string
-	store     *faultyStore
-	owns      map[string]bool
-	directory Directory
-	handovers int
+	name  string
+	store *faultyStore
+	owns  map[string]bool
+	// acquiredTwice are the shards that the member acquired while it owned them.
+	acquiredTwice []string
+	directory     Directory
+	handovers     int
 	// finishHeld ends the last handover; set instead of ending it if holdHandover is true.
 	holdHandover bool
 	finishHeld   func()
@@ -37,6 +39,8 @@
 	activeFault atomic.Uint32 // A rowstest.Fault.
 	failReads   atomic.Bool   // Reads are rejected, commits are not affected.
 	reads       atomic.Int32
+	// readReplyTime is how long the reply to a read of changes is on its way.
+	readReplyTime atomic.Int64
 }
 
 func (f *faultyStore) setFault(fault rowstest.Fault) { f.activeFault.Store(uint32(fault)) }
@@ -78,13 +82,20 @@
 		<-ctx.Done()
 		return rows.Page{}, rowstest.ErrNoReply
 	}
-	return f.Store.Feed(ctx, table, after, wait)
+	page, err := f.Store.Feed(ctx, table, after, wait)
+	time.Sleep(time.Duration(f.readReplyTime.Load()))
+	return page, err
 }
 
-func (m *member) Acquired(shard string, _ uint64) { m.owns[shard] = true }
-func (m *member) Released(shard string)           { delete(m.owns, shard) }
-func (m *member) Renewed(error)                   {}
-func (m *member) CanHandOver(string) bool         { return true }
+func (m *member) Acquired(shard string, _ uint64) {
+	if m.owns[shard] {
+		m.acquiredTwice = append(m.acquiredTwice, shard)
+	}
+	m.owns[shard] = true
+}
+func (m *member) Released(shard string)   { delete(m.owns, shard) }
+func (m *member) Renewed(error)           {}
+func (m *member) CanHandOver(string) bool { return true }
 func (m *member) HandOver(shard string, fence uint64) {
 	m.handovers++
 	m.finishHeld = func() { m.FinishHandover(shard, fence) }
--- a/jobs/cluster/takeover.go
+++ b/jobs/cluster/takeover.go
@@ -12,8 +12,12 @@
 )
 
 // isVacant reports whether a shard can be taken over: it has no owner, this process
-// renounced it, or its owner has restarted, left or lost its lease.
+// renounced it, or its owner has restarted, left or lost its lease. A shard that this process
+// holds is not vacant, even if its own member row is missing.
 func (m *Manager) isVacant(shard string, now time.Duration) bool {
+	if _, held := m.heldFences[shard]; held {
+		return false
+	}
 	if m.isRenounced(shard) {
 		return true
 	}
@@ -147,10 +151,18 @@
 	}
 }
 
+// acquire makes this process the owner of a shard under a fence. The listener has at most one
+// ownership of a shard at a time.
 func (m *Manager) acquire(shard string, fence uint64) {
+	if current, held := m.heldFences[shard]; held {
+		if fence <= current {
+			return
+		}
+		m.release(shard)
+	}
 	delete(m.vacantSince, shard)
 	delete(m.renouncedFences, shard)
-	m.owners[shard] = ownerRow{&jobpb.Owner{Member: m.o.Member, Incarnation: m.incarnation}, fence}
+	m.owners[shard] = m.ownOwnerRow(fence)
 	m.heldFences[shard] = fence
 	m.heldSince[shard] = m.o.Clock()
 	m.publishDirectory()
