Renewals do not wait behind reads that callers request

Callers of a shard without an owner request a read of the owners every 60 ms each. While a read takes longer than the pause between two requests, a read is always running; a renewal that falls due then was dropped until the next tick, met the next read, and so on, until the lease had lapsed: all shards of the process then lost their owner as well.

Now a renewal that is due waits for the end of the read and goes before the next one.

--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -52,6 +52,8 @@
 	joinedAt      time.Duration
 	leaving       bool
 	cycleRunning  bool
+	// renewalWaits is set if a renewal is due and waits for the end of the cycle.
+	renewalWaits  bool
 	ticks         int
 	renewDue      bool
 	lastReadAt    time.Duration // When the last successful read completed.
@@ -144,10 +146,11 @@
 	m.startCycle()
 }
 
-// startCycle starts a renewal, if one is due, followed by a read. It does nothing
-// while a cycle is running.
+// startCycle starts a renewal, if one is due, followed by a read. While a cycle is running, a
+// renewal that is due waits for its end, and reads that are requested meanwhile do not precede it.
 func (m *Manager) startCycle() {
 	if m.cycleRunning {
+		m.renewalWaits = m.renewalWaits || m.renewDue
 		return
 	}
 	m.cycleRunning = true
@@ -271,7 +274,7 @@
 		defer cancel()
 		read, err := readChanges(ctx, m.o.Store, after)
 		m.o.Loop.Post(func() {
-			m.cycleRunning = false
+			m.endCycle()
 			if err != nil {
 				m.o.Listener.Renewed(fmt.Errorf("read members: %w", err))
 				return
@@ -282,6 +285,16 @@
 	}()
 }
 
+// endCycle ends a cycle and starts the next one if a renewal has waited for it.
+func (m *Manager) endCycle() {
+	m.cycleRunning = false
+	waited := m.renewalWaits && m.renewDue
+	m.renewalWaits = false
+	if waited {
+		m.startCycle()
+	}
+}
+
 // Refresh reads the changed rows, for example after a peer replied that it does not own
 // a shard. It does nothing before the first read, of all rows, has succeeded: many
 // waiting calls would repeat that read without pause and use up the store's rate limit.
--- a/jobs/cluster/staleread_test.go
+++ b/jobs/cluster/staleread_test.go
@@ -32,3 +32,18 @@
 		assert.DeepEqual(t, next.acquiredTwice, []string(nil))
 	})
 }
+
+// Guards against a lease that lapses because reads for callers, requested without a pause, keep the renewals waiting.
+func TestRequestedReadsDoNotDelayRenewals(t *testing.T) {
+	withGroup(t, 1, func(g *group) {
+		g.checkSingleOwnerFor(4 * time.Second)
+		m := g.members[0]
+		m.store.readReplyTime.Store(int64(80 * time.Millisecond))
+		for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			g.runOnLoop(func() {
+				m.Refresh()
+				assert.Assert(t, m.HasLease(), "the lease has lapsed")
+			})
+		}
+	})
+}
