A renounced fence is not acquired again after a read from before the takeover

The read put the former owner's row back, so the shard no longer counted as renounced, the takeover that followed was rejected, the row that names this process was found, and its fence was acquired again. The next owner object had the name and the fence of the former one: it took the head row for its own, counted its transactions anew and could take a transaction of the former one for applied.

Now the owner row of this process's last takeover of each shard is kept, held or not, until a newer one is read, and a fence is acquired only if it is higher than all before.

--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -66,7 +66,8 @@
 	members         map[string]memberRow
 	owners          map[string]ownerRow
 	vacantSince     map[string]time.Duration
-	heldFences      map[string]uint64 // Fence of each shard that this process owns, by shard.
+	heldFences      map[string]uint64   // Fence of each shard that this process owns, by shard.
+	ownTakeovers    map[string]ownerRow // The last owner row with which this process took a shard over, by shard.
 	takeoverPending map[string]bool
 	renouncedFences map[string]uint64 // Fences under which this process no longer acts, by shard.
 	directory       Directory
@@ -88,7 +89,7 @@
 	o.setDefaults()
 	return &Manager{
 		o: o, incarnation: o.Incarnation, renewalSentAt: map[uint64]time.Duration{}, shards: map[string]bool{}, members: map[string]memberRow{}, owners: map[string]ownerRow{},
-		vacantSince: map[string]time.Duration{}, heldFences: map[string]uint64{}, takeoverPending: map[string]bool{}, renouncedFences: map[string]uint64{},
+		vacantSince: map[string]time.Duration{}, heldFences: map[string]uint64{}, ownTakeovers: map[string]ownerRow{}, takeoverPending: map[string]bool{}, renouncedFences: map[string]uint64{},
 		heldSince: map[string]time.Duration{}, knownSince: map[string]time.Duration{}, pastHandovers: map[string]pastHandover{},
 	}, nil
 }
@@ -360,18 +361,13 @@
 // keepOwnTakeovers keeps the owner rows of takeovers that are newer than the last read: the store may
 // have executed that read before the takeover.
 func (m *Manager) keepOwnTakeovers() {
-	for shard, fence := range m.heldFences {
-		if m.owners[shard].version < fence {
-			m.owners[shard] = m.ownOwnerRow(fence)
+	for shard, row := range m.ownTakeovers {
+		if m.owners[shard].version < row.version {
+			m.owners[shard] = row
 		}
 	}
 }
 
-// ownOwnerRow returns the owner row of a shard that this process has taken over.
-func (m *Manager) ownOwnerRow(fence uint64) ownerRow {
-	return ownerRow{&jobpb.Owner{Member: m.o.Member, Incarnation: m.incarnation}, fence}
-}
-
 // acquireDelayedTakeovers acquires shards whose owner row names this process because of
 // a takeover that got no reply but was applied later.
 func (m *Manager) acquireDelayedTakeovers() {
--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -26,8 +26,10 @@
 	owns  map[string]bool
 	// acquiredTwice are the shards that the member acquired while it owned them.
 	acquiredTwice []string
-	directory     Directory
-	handovers     int
+	// acquiredFences are the fences of all acquisitions, by shard.
+	acquiredFences map[string][]uint64
+	directory      Directory
+	handovers      int
 	// finishHeld ends the last handover; set instead of ending it if holdHandover is true.
 	holdHandover bool
 	finishHeld   func()
@@ -87,7 +89,8 @@
 	return page, err
 }
 
-func (m *member) Acquired(shard string, _ uint64) {
+func (m *member) Acquired(shard string, fence uint64) {
+	m.acquiredFences[shard] = append(m.acquiredFences[shard], fence)
 	if m.owns[shard] {
 		m.acquiredTwice = append(m.acquiredTwice, shard)
 	}
@@ -134,7 +137,7 @@
 }
 
 func (g *group) add() *member {
-	m := &member{name: fmt.Sprintf("m%d", len(g.members)), store: &faultyStore{Store: g.store}, owns: map[string]bool{}}
+	m := &member{name: fmt.Sprintf("m%d", len(g.members)), store: &faultyStore{Store: g.store}, owns: map[string]bool{}, acquiredFences: map[string][]uint64{}}
 	began := time.Now()
 	manager, err := New(Options{
 		Member: m.name, Incarnation: m.name + "-1", Address: m.name, CPU: 400, Store: m.store, Loop: g.loop, Listener: m,
--- a/jobs/cluster/takeover.go
+++ b/jobs/cluster/takeover.go
@@ -151,18 +151,19 @@
 	}
 }
 
-// acquire makes this process the owner of a shard under a fence. The listener has at most one
-// ownership of a shard at a time.
+// acquire makes this process the owner of a shard under a fence, which is higher than any it had for this
+// shard before: an ownership that has ended does not begin again. The listener has at most one at a time.
 func (m *Manager) acquire(shard string, fence uint64) {
-	if current, held := m.heldFences[shard]; held {
-		if fence <= current {
-			return
-		}
+	if fence <= m.ownTakeovers[shard].version {
+		return
+	}
+	if _, held := m.heldFences[shard]; held {
 		m.release(shard)
 	}
 	delete(m.vacantSince, shard)
 	delete(m.renouncedFences, shard)
-	m.owners[shard] = m.ownOwnerRow(fence)
+	m.ownTakeovers[shard] = ownerRow{&jobpb.Owner{Member: m.o.Member, Incarnation: m.incarnation}, fence}
+	m.owners[shard] = m.ownTakeovers[shard]
 	m.heldFences[shard] = fence
 	m.heldSince[shard] = m.o.Clock()
 	m.publishDirectory()
