A late copy of the first renewal does not restore a lapsed lease

Cause: the renewal that creates a member row expects that there is none. A copy that the store executes after a takeover has deleted the row creates it again. The next renewal of the evicted process was rejected, found a row of its own incarnation, took it for one that it may replace, and renewed the lapsed lease; until a read showed the new owners, both acted.

Now a row that is not that of a renewal without a reply means that the process was evicted, of whatever incarnation it is.

--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -228,9 +228,10 @@
 
 // reconcileRejectedRenewal handles a renewal rejected because the member row had
 // another version. If the row comes from an earlier renewal whose reply was lost, the
-// lease is extended from the time when that renewal was sent. If the row is missing,
-// a process that took shards over has deleted it: this process releases all shards and
-// continues as a new incarnation, so that no owner row names it.
+// lease is extended from the time when that renewal was sent. Otherwise a process that
+// took shards over has deleted the row, even if there is one of this incarnation: a late
+// copy of the renewal that created it can do so again. This process releases all shards
+// and continues as a new incarnation, so that no owner row names it.
 func (m *Manager) reconcileRejectedRenewal(currentRows []rows.Row) {
 	for _, row := range currentRows {
 		record := &jobpb.Member{}
@@ -242,7 +243,7 @@
 			return
 		}
 		m.ownRowVersion = row.Version
-		if record.Incarnation == m.incarnation || m.leaseExpiry == 0 {
+		if m.leaseExpiry == 0 {
 			return // The next renewal replaces the row of an earlier incarnation.
 		}
 	}
