Rejected renewals keep their backoff

Now a renewal that failed is not repeated before its backoff has passed, by whatever is to start it.

--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -56,6 +56,7 @@
 	renewalWaits  bool
 	ticks         int
 	renewDue      bool
+	retryAt       time.Duration // When a renewal that failed may be repeated.
 	lastReadAt    time.Duration // When the last successful read completed.
 	readStartedAt time.Duration // When the last read was started.
 	outageEndedAt time.Duration // When a read succeeded again after an outage of the store.
@@ -147,15 +148,20 @@
 	m.startCycle()
 }
 
+// isRenewalDue reports whether a renewal is to be sent now.
+func (m *Manager) isRenewalDue() bool {
+	return m.renewDue && !m.leaving && m.o.Clock() >= m.retryAt
+}
+
 // startCycle starts a renewal, if one is due, followed by a read. While a cycle is running, a
 // renewal that is due waits for its end, and reads that are requested meanwhile do not precede it.
 func (m *Manager) startCycle() {
 	if m.cycleRunning {
-		m.renewalWaits = m.renewalWaits || m.renewDue
+		m.renewalWaits = m.renewalWaits || m.isRenewalDue()
 		return
 	}
 	m.cycleRunning = true
-	if m.leaving || !m.renewDue {
+	if !m.isRenewalDue() {
 		m.startRead() // Needed while leaving too: requests are still forwarded to the owners.
 	} else {
 		m.sendRenewal()
@@ -207,7 +213,9 @@
 		m.rejections = 0
 	}
 	if m.renewDue {
-		m.o.Loop.After(m.renewalRetryDelay(), m.startCycle)
+		delay := m.renewalRetryDelay()
+		m.retryAt = m.o.Clock() + delay
+		m.o.Loop.After(delay, m.startCycle)
 	}
 	m.startRead()
 }
@@ -290,7 +298,7 @@
 // endCycle ends a cycle and starts the next one if a renewal has waited for it.
 func (m *Manager) endCycle() {
 	m.cycleRunning = false
-	waited := m.renewalWaits && m.renewDue
+	waited := m.renewalWaits && m.isRenewalDue()
 	m.renewalWaits = false
 	if waited {
 		m.startCycle()
