Log the stops of runs whose task the owner does not know

A run of an unknown job that a worker lists was stopped without a line, so a record could not tell whether an owner stops runs that it has started itself under the same fence, runs of a former owner, or runs of another pool.

stop-ordered (4588) now has such stops, with the reasons of end-ignored (4593): unknown-job, unreadable-job, unknown-task. Both events have the generation of the owner, which tells whose range the run number is from, and whether the registry lists the worker in the pool. stop-ordered also has fence, worker_fence and right. Runs of jobs that have ended have no line. The limit of 10 lines a second for each shard and reason holds: 500 unknown runs in one status give 10 lines, and the next one has left_out=490.

end-ignored already covered ends of unknown jobs that are acknowledged without a row; its test now checks task, run, fence and worker_fence as well.

TestStopOfUnknownRunIsRecorded (three cases) and TestStopLinesOfUnknownRunsAreBounded fail without the call in applyRunningTask and pass with it.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -319,7 +319,7 @@
 	{IDHomeUnknown, "id-home-unknown", LevelWarning, "A pool could not learn in which part the rows of the IDs at an address are; it asks again, and the jobs wait or are refused."},
 	{StatusDropped, "status-dropped", LevelWarning, "A status of a worker was not applied although it lists ends, or runs, that no applied status accounts for; at most 10 lines a second for each shard."},
 	{EndsForgotten, "ends-forgotten", LevelWarning, "A worker no longer lists the end of a run although no acknowledgement of it was sent to this incarnation; one line for each incarnation."},
-	{StopOrdered, "stop-ordered", LevelInfo, "A run is stopped although its task is not done; at most 10 lines a second for each shard and reason."},
+	{StopOrdered, "stop-ordered", LevelInfo, "A run is stopped although its task is not done, or because the owner does not know its task; at most 10 lines a second for each shard and reason."},
 	{CommitFound, "commit-found", LevelInfo, "A transaction of a shard without an answer was found applied, since the head row has its number."},
 	{RunRemoved, "run-removed", LevelWarning, "Runs on a worker no longer count although no end of them was applied; each line gives the reason and names at most 14 runs."},
 	{EndsMissing, "ends-missing", LevelWarning, "A worker's list of ended runs skips numbers that were never applied; the ends of these runs are unknown."},
--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -102,6 +102,7 @@
 	a.percent, a.measure = r.Percent, r.Measure
 	a.timing.noteListed(w.lastStatusClock)
 	if a.task == nil {
+		s.traceUnknownStop(a)
 		s.stopAttempt(a)
 		return
 	}
--- a/jobs/shard/trace_test.go
+++ b/jobs/shard/trace_test.go
@@ -175,7 +175,10 @@
 		r.callOnLoop(first.Stop)
 		wantFields(t, r.only(eventlog.EndsMissing), map[string]any{"worker": "w0", "born": 1, "expected": 1, "listed": 3, "applied": 0, "acked": 0})
 		assert.Equal(t, r.count("missing"), 2)
-		wantFields(t, r.events(eventlog.EndIgnored)[0], map[string]any{"number": 3, "reason": "unknown-job", "outcome": "done"})
+		wantFields(t, r.events(eventlog.EndIgnored)[0], map[string]any{
+			"number": 3, "reason": jobUnknown, "outcome": "done", "run": 1, "task": job.TaskRef{Job: testJobID(unknownJob)},
+			"fence": 1, "worker_fence": 1, "generation": 1, "registered": true,
+		})
 		second := r.startReady()
 		r.applyEnds(second, unknownJob, 6)
 		r.only(eventlog.EndsMissing)
--- a/jobs/shard/traceends.go
+++ b/jobs/shard/traceends.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/rows"
 	"peridotcrank.dev/jobs/worker"
 )
@@ -27,6 +28,15 @@
 	ignoredEndsInterval = time.Second
 )
 
+// unknownTaskReason says why an owner does not know a task of a worker's status.
+type unknownTaskReason string
+
+const (
+	jobUnknown    unknownTaskReason = "unknown-job"
+	jobUnreadable unknownTaskReason = "unreadable-job"
+	taskUnknown   unknownTaskReason = "unknown-task"
+)
+
 type appliedEnd struct {
 	number  uint64
 	key     runKey
@@ -92,21 +102,15 @@
 func (s *Shard) traceRunEnd(w *workerState, end worker.RunEnd) {
 	w.trace.noteApplied(end)
 	js := s.jobs[end.Task.Job]
-	if js == nil {
-		if _, ok := s.unreadable[end.Task.Job]; ok {
-			s.recordIgnoredEnd(w, end, "unreadable-job")
-		} else if _, ok := s.ended[end.Task.Job]; !ok {
-			s.recordIgnoredEnd(w, end, "unknown-job")
-		}
-		return
+	if reason := s.unknownReason(end.Task); reason != "" && (js == nil || js.outcome == 0) {
+		s.recordIgnoredEnd(w, end, string(reason))
 	}
-	if js.outcome != 0 {
+	if js == nil || js.outcome != 0 {
 		return
 	}
 	t := js.task(end.Task)
 	switch {
 	case t == nil:
-		s.recordIgnoredEnd(w, end, "unknown-task")
 	case t.done:
 		// Gangs and speculative runs have several runs of a task by design. A worker lists
 		// an end again that a former owner stored and did not acknowledge.
@@ -122,6 +126,24 @@
 	}
 }
 
+// unknownReason says why this owner does not know a task, or is empty if it does, or if its job
+// has ended.
+func (s *Shard) unknownReason(ref job.TaskRef) unknownTaskReason {
+	if js := s.jobs[ref.Job]; js != nil {
+		if js.task(ref) == nil {
+			return taskUnknown
+		}
+		return ""
+	}
+	if _, ok := s.unreadable[ref.Job]; ok {
+		return jobUnreadable
+	}
+	if _, ok := s.ended[ref.Job]; ok {
+		return ""
+	}
+	return jobUnknown
+}
+
 // recordIgnoredEnd records an end that has no effect, at most maxIgnoredEnds times in
 // each ignoredEndsInterval.
 func (s *Shard) recordIgnoredEnd(w *workerState, end worker.RunEnd, reason string) {
@@ -132,6 +154,7 @@
 	fields := s.workerFields(w)
 	fields["number"], fields["task"], fields["run"] = end.Number, end.Task.String(), end.Run
 	fields["outcome"], fields["reason"], fields["left_out"] = end.Outcome.String(), reason, leftOut
+	fields["generation"], fields["registered"] = s.journal.generation, w.registered
 	s.recordEvent(eventlog.EndIgnored, fields)
 }
 
--- a/jobs/shard/tracestops.go
+++ b/jobs/shard/tracestops.go
@@ -6,7 +6,7 @@
 	"peridotcrank.dev/eventlog"
 )
 
-// This file traces the stops of runs whose task has not ended as done.
+// This file traces the stops of runs whose task is not known to be done.
 
 const (
 	// maxStopLines is the number of stops that are logged for each reason in each
@@ -15,7 +15,7 @@
 	stopLinesInterval = time.Second
 )
 
-// stopReason says why a run is stopped.
+// stopReason says why a run is stopped. For a run of an unknown task it is an [unknownTaskReason].
 type stopReason string
 
 const (
@@ -29,9 +29,21 @@
 
 // traceStop records the first stop of a run whose task is not done.
 func (s *Shard) traceStop(a *attempt, reason stopReason) {
-	if a.phase == stopping || a.task == nil || a.task.done {
-		return
+	if a.phase != stopping && a.task != nil && !a.task.done {
+		s.recordStop(a, reason)
+	}
+}
+
+// traceUnknownStop records the first stop of a run whose task this owner does not know, unless
+// its job has ended.
+func (s *Shard) traceUnknownStop(a *attempt) {
+	if reason := s.unknownReason(a.ref); a.phase != stopping && reason != "" {
+		s.recordStop(a, stopReason(reason))
 	}
+}
+
+// recordStop records a stop, at most maxStopLines times for its reason in each stopLinesInterval.
+func (s *Shard) recordStop(a *attempt, reason stopReason) {
 	if s.trace.stops == nil {
 		s.trace.stops = map[stopReason]*lineLimit{}
 	}
@@ -46,7 +58,8 @@
 		return
 	}
 	fields := eventlog.Fields{
-		"worker": a.worker.info.ID, "born": a.worker.info.StartedUnixMs, "task": a.ref.String(), "run": a.run,
+		"worker": a.worker.info.ID, "born": a.worker.info.StartedUnixMs, "registered": a.worker.registered, "task": a.ref.String(), "run": a.run,
+		"fence": s.opts.Fence, "generation": s.journal.generation, "worker_fence": a.worker.fence, "right": s.canAct(),
 		"reason": string(reason), "left_out": leftOut, "listed": a.timing.listedClock > 0, "start_answered": s.startAnswered(a),
 	}
 	if a.startedAt > 0 {
--- a/jobs/shard/tracestops_test.go
+++ b/jobs/shard/tracestops_test.go
@@ -82,6 +82,78 @@
 	})
 }
 
+// statusWithRuns is a status of a worker that lists runs of a job and no ends.
+func statusWithRuns(w *workerState, n, firstTask, runs int) worker.Status {
+	status := worker.Status{ClockTime: w.lastStatusClock + 1, StartedUnixMs: w.info.StartedUnixMs}
+	for task := range runs {
+		status.Running = append(status.Running, worker.RunningTask{Task: job.TaskRef{Job: testJobID(n), Index: firstTask + task}, Run: 1})
+	}
+	return status
+}
+
+// Guards against runs of a job that the owner does not know which are stopped without a line: under
+// two owners of one shard, each stops the runs of the other in this way.
+func TestStopOfUnknownRunIsRecorded(t *testing.T) {
+	for _, c := range []struct {
+		reason unknownTaskReason
+		job    int
+	}{{jobUnknown, unknownJob}, {jobUnreadable, 5}, {taskUnknown, 1}} {
+		t.Run(string(c.reason), func(t *testing.T) {
+			withEvents(t, 1, func(r *eventRig) {
+				o := r.startReady()
+				assert.Equal(t, r.submit(o, simpleJob(1, 1)).Code, OK)
+				const task = 7
+				var fence uint64
+				r.callOnLoop(func() {
+					w := o.workers["w0"]
+					o.unreadable[testJobID(5)] = struct{}{}
+					fence = w.fence
+					o.applyStatus(w, o.nextLogicalTime(), statusWithRuns(w, c.job, task, 1))
+					o.applyStatus(w, o.nextLogicalTime(), statusWithRuns(w, c.job, task, 1)) // Its stop is under way.
+				})
+				wantFields(t, r.only(eventlog.StopOrdered), map[string]any{
+					"worker": "w0", "born": 1, "registered": true, "task": job.TaskRef{Job: testJobID(c.job), Index: task}, "run": 1, "reason": c.reason,
+					"fence": o.opts.Fence, "worker_fence": fence, "generation": 1, "right": true, "listed": true, "left_out": 0,
+				})
+			})
+		})
+	}
+}
+
+// Guards against a line for a run of a job that has ended, which a worker may list for a moment longer.
+func TestStopOfRunOfEndedJobHasNoLine(t *testing.T) {
+	withEvents(t, 1, func(r *eventRig) {
+		o := r.startReady()
+		assert.Equal(t, r.submit(o, simpleJob(1, 1)).Code, OK)
+		r.awaitState(o, 1, job.Completed, 10*time.Second)
+		r.callOnLoop(func() {
+			w := o.workers["w0"]
+			o.applyStatus(w, o.nextLogicalTime(), statusWithRuns(w, 1, 0, 1))
+			assert.Equal(t, len(w.attempts), 1)
+		})
+		assert.Equal(t, len(r.events(eventlog.StopOrdered)), 0)
+	})
+}
+
+// Guards against a worker full of unknown runs that fills the log.
+func TestStopLinesOfUnknownRunsAreBounded(t *testing.T) {
+	const runs = 500
+	withEvents(t, 1, func(r *eventRig) {
+		o := r.startReady()
+		list := func(firstTask, runs int) {
+			r.callOnLoop(func() {
+				w := o.workers["w0"]
+				o.applyStatus(w, o.nextLogicalTime(), statusWithRuns(w, unknownJob, firstTask, runs))
+			})
+		}
+		list(0, runs)
+		assert.Equal(t, len(r.events(eventlog.StopOrdered)), maxStopLines)
+		time.Sleep(stopLinesInterval)
+		list(runs, 1)
+		wantFields(t, r.events(eventlog.StopOrdered)[maxStopLines], map[string]any{"reason": jobUnknown, "left_out": runs - maxStopLines})
+	})
+}
+
 // Guards against a run that makes no progress and is stopped without a line that names it.
 func TestStopOfStalledRunIsRecorded(t *testing.T) {
 	withEvents(t, 3, func(r *eventRig) {
