Name in shard-lost what has shown another owner

shard-lost said only that a worker has seen a higher fence, or that the head row belongs to another owner. A record could not tell a takeover from two owner objects of one process that act under one ownership, nor which order of which worker was refused.

shard-lost (4513) now has this owner's name, generation and last sequence. After a refused order it has the worker, its born, the order (hold, start or stop), the fence that it carried and the one that later orders would carry. After a rejected transaction or claim it has owner, fence, generation, sequence and version of the head row that was found; head_owner equal to owner is the sign of two owner objects. The head row of a rejected transaction is decoded in findHead, which findOwnHead now uses too.

--- a/jobs/shard/claim.go
+++ b/jobs/shard/claim.go
@@ -36,7 +36,8 @@
 }
 
 // claimHead writes the head row for this owner and returns it. Its HoldMs is the
-// longest lease that this owner or a former one grants.
+// longest lease that this owner or a former one grants. With errNewerOwner it returns the head row of
+// that owner.
 func (s *Shard) claimHead(ctx context.Context) (*jobpb.Head, rows.Version, error) {
 	key := s.headKey()
 	page, err := s.opts.Store.Read(ctx, key.Table, key.Part, key.Name)
@@ -58,7 +59,7 @@
 		return head, version, nil // An earlier attempt took effect.
 	}
 	if head.Fence > s.opts.Fence {
-		return nil, 0, errNewerOwner
+		return head, version, errNewerOwner
 	}
 	next := &jobpb.Head{
 		Owner: s.opts.Owner, Generation: head.Generation + 1, HoldMs: max(head.HoldMs, s.opts.LeaseDuration.Milliseconds()),
@@ -110,7 +111,7 @@
 		return
 	}
 	if errors.Is(err, errNewerOwner) {
-		s.relinquish("the head row belongs to a newer owner")
+		s.relinquish("the head row belongs to a newer owner", headFields(head, version))
 		return
 	}
 	if err != nil {
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -110,7 +110,7 @@
 	}
 	b, err := s.buildBatch()
 	if err != nil {
-		s.relinquish(fmt.Sprintf("encode rows: %v", err))
+		s.relinquish(fmt.Sprintf("encode rows: %v", err), nil)
 		return
 	}
 	j.batch, j.lastSent = b, s.opts.Clock()
@@ -302,7 +302,7 @@
 	}
 	taken := s.takenIDs(b, current)
 	if len(taken) == 0 {
-		s.relinquish("the head row belongs to another owner")
+		s.relinquish("the head row belongs to another owner", s.rejectedBatchFields(b, current))
 		return
 	}
 	s.dropTakenJobs(b, taken)
@@ -313,16 +313,23 @@
 // transaction with the given sequence. That transaction was applied although its reply
 // was lost.
 func (s *Shard) findOwnHead(found []rows.Row, sequence uint64) (rows.Version, bool) {
+	head, version := findHead(found)
+	if head == nil || head.Owner != s.opts.Owner || head.Sequence != sequence {
+		return 0, false
+	}
+	return version, true
+}
+
+// findHead returns the head row of the shard among the rows that a rejected transaction expected, or
+// nil.
+func findHead(found []rows.Row) (*jobpb.Head, rows.Version) {
 	for _, row := range found {
 		head := &jobpb.Head{}
-		if row.Table != tableHead || row.Deleted || proto.Unmarshal(row.Value, head) != nil {
-			continue
-		}
-		if head.Owner == s.opts.Owner && head.Sequence == sequence {
-			return row.Version, true
+		if row.Table == tableHead && !row.Deleted && proto.Unmarshal(row.Value, head) == nil {
+			return head, row.Version
 		}
 	}
-	return 0, false
+	return nil, 0
 }
 
 // applyCommitted makes the effects of a committed batch visible.
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -117,7 +117,7 @@
 	case a.worker.isSuperseded(fence, err):
 		// The next start uses the fence of the worker's incarnation.
 	case errors.Is(err, worker.ErrFenced):
-		s.relinquish("a worker has seen a higher fence")
+		s.relinquish(lostToHigherFence, refusedOrderFields(a.worker, orderStart, fence))
 		return
 	case errors.Is(err, worker.ErrReplaced) && a.movedFrom != nil:
 		// The former incarnation has ended, which is known.
@@ -187,7 +187,7 @@
 	case a.worker.isSuperseded(fence, err):
 		// checkWorker repeats the stop.
 	case errors.Is(err, worker.ErrFenced):
-		s.relinquish("a worker has seen a higher fence")
+		s.relinquish(lostToHigherFence, refusedOrderFields(a.worker, orderStop, fence))
 	case errors.Is(err, worker.ErrReplaced):
 		s.removeWorker(a.worker, "replaced")
 	}
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -167,12 +167,13 @@
 	s.opts.Recorder.Record(code, fields)
 }
 
-// relinquish gives up the shard after the process has noticed another owner.
-func (s *Shard) relinquish(reason string) {
+// relinquish gives up the shard after the process has noticed another owner. evidence is what
+// the log tells of that owner; nil if there is nothing.
+func (s *Shard) relinquish(reason string, evidence eventlog.Fields) {
 	if s.stopped {
 		return
 	}
-	s.recordEvent(eventlog.ShardLost, eventlog.Fields{"reason": reason, "fence": s.opts.Fence})
+	s.recordLost(reason, evidence)
 	s.Stop()
 	s.opts.OnLost()
 }
--- a/jobs/shard/shares.go
+++ b/jobs/shard/shares.go
@@ -80,7 +80,7 @@
 // afterObserving notes the share of the former owner until this owner has claimed it.
 func (s *Shard) afterObserving(c *workspaceCap, err error) bool {
 	if errors.Is(err, caps.ErrNewerOwner) {
-		s.relinquish("a newer owner has written the share of the pool")
+		s.relinquish("a newer owner has written the share of the pool", nil)
 		return false
 	}
 	if !c.ledger.Claimed() {
@@ -101,7 +101,7 @@
 	}
 	proposal, ok, err := c.ledger.Propose(s.capDemand(c))
 	if err != nil {
-		s.relinquish("a newer owner has written the share of the pool")
+		s.relinquish("a newer owner has written the share of the pool", nil)
 		return
 	}
 	if !ok {
--- /dev/null
+++ b/jobs/shard/traceowners_test.go
@@ -0,0 +1,96 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/job"
+	"peridotcrank.dev/jobs/worker"
+)
+
+// startAgain starts a second owner object under the ownership of another one.
+func (r *eventRig) startAgain(first *owner) *owner {
+	o := &owner{rig: r.rig, loop: first.loop}
+	opts := first.opts
+	o.ownsShard.Store(true)
+	opts.OwnsShard, opts.OnLost = o.ownsShard.Load, func() { o.lost.Store(true) }
+	s, err := New(opts)
+	assert.NilError(r.t, err)
+	o.Shard = s
+	r.owners = append(r.owners, o)
+	o.callOnLoop(func() {
+		s.SetQueues(r.queues)
+		s.idHomes[s.callersAddress(testQueue)] = testPool
+		s.SetWorkers(r.workerInfos)
+		s.Start()
+	})
+	time.Sleep(time.Second)
+	return o
+}
+
+// Guards against a shard that is lost to the fence of a worker while the log does not tell which
+// worker refused which order.
+func TestLossNamesTheRefusedOrder(t *testing.T) {
+	for _, c := range []struct {
+		order  workerOrder
+		refuse func(*owner, *attempt, uint64)
+	}{
+		{orderHold, func(o *owner, a *attempt, fence uint64) { o.handleHoldError(a.worker, fence, worker.ErrFenced) }},
+		{orderStart, func(o *owner, a *attempt, fence uint64) { o.handleStartReply(a, fence, 0, worker.ErrFenced) }},
+		{orderStop, func(o *owner, a *attempt, fence uint64) { o.handleStopReply(a, fence, 0, worker.ErrFenced) }},
+	} {
+		t.Run(string(c.order), func(t *testing.T) {
+			withEvents(t, 1, func(r *eventRig) {
+				o := r.startHour()
+				var fence uint64
+				r.callOnLoop(func() {
+					w := o.workers["w0"]
+					fence = w.fence
+					c.refuse(o, w.attempts[runKey{job.TaskRef{Job: testJobID(1)}, 1}], fence)
+				})
+				assert.Assert(t, o.lost.Load())
+				wantFields(t, r.only(eventlog.ShardLost), map[string]any{
+					"reason": lostToHigherFence, "worker": "w0", "born": 1, "order": c.order, "order_fence": fence, "worker_fence": fence, "fence": 1, "generation": 1,
+				})
+			})
+		})
+	}
+}
+
+// Guards against a shard that is lost to the head row while the log does not tell whether another
+// owner wrote it, or another owner object under the same ownership.
+func TestLossNamesTheOwnerOfTheHeadRow(t *testing.T) {
+	withEvents(t, 1, func(r *eventRig) {
+		first := r.startReady()
+		second := r.startAgain(first)
+		assert.Equal(t, r.submit(first, simpleJob(1, 1)).Code, OK)
+		r.awaitState(first, 1, job.Completed, 10*time.Second)
+		var sequence, ownSequence uint64
+		var head any
+		r.callOnLoop(func() {
+			sequence, head, ownSequence = first.journal.sequence, first.journal.head, second.journal.sequence
+		})
+		r.submitUnanswered(second, 2)
+		time.Sleep(time.Second)
+		assert.Assert(t, second.lost.Load())
+		wantFields(t, r.only(eventlog.ShardLost), map[string]any{
+			"owner": "owner-1", "head_owner": "owner-1", "head_fence": 1, "head_generation": 1, "head_sequence": sequence, "head": head, "sequence": ownSequence,
+			"sent_sequence": ownSequence + 1, "attempts": 1,
+		})
+	})
+}
+
+// Guards against a claim that gives way to a newer owner whom the log does not name.
+func TestLossDuringTheClaimNamesTheNewerOwner(t *testing.T) {
+	withEvents(t, 1, func(r *eventRig) {
+		former := &owner{}
+		r.startOwnerOf(testPool, func(s *Shard) { former.Shard = s; s.stopped = true })
+		r.startReady()
+		r.callOnLoop(func() { former.stopped = false; former.Start() })
+		time.Sleep(time.Second)
+		wantFields(t, r.only(eventlog.ShardLost), map[string]any{"owner": "owner-1", "fence": 1, "head_owner": "owner-2", "head_fence": 2, "head_generation": 1})
+	})
+}
--- a/jobs/shard/workers.go
+++ b/jobs/shard/workers.go
@@ -347,7 +347,7 @@
 		s.sendHold(w)
 		return
 	case errors.Is(err, worker.ErrFenced):
-		s.relinquish("a worker has seen a higher fence")
+		s.relinquish(lostToHigherFence, refusedOrderFields(w, orderHold, fence))
 		return
 	case errors.Is(err, worker.ErrReplaced):
 		s.removeWorker(w, "replaced")
