Number the acquisitions of a shard by a process in its lines

Two owner objects of one shard in a process, under one fence, wrote lines that look like those of one. Only two shard-acquired lines with the same fence, or head-claimed with found, would have shown them, and an excerpt without the owners' lines has neither.

--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -21,6 +21,9 @@
 	// Fence is the fencing token of this ownership. Workers refuse orders with a lower
 	// one. Required.
 	Fence uint64
+	// Acquisition counts the shards with the same pool that this process has created. Only the log
+	// shows it.
+	Acquisition int
 	// LeaseDuration is the duration of the leases granted to workers. Required.
 	LeaseDuration time.Duration
 	// MaxLease is the longest lease that a worker accepts. A worker that has restarted may
--- a/jobs/shard/place.go
+++ b/jobs/shard/place.go
@@ -232,7 +232,7 @@
 		"job": step.job.job.ID, "queue": step.job.job.Queue, "step": p.started[0].ref.StepName(),
 		"tasks": strings.TrimSuffix(assignments.String(), " "), "left": step.pending,
 		"waited": (p.now - step.releasedAt).String(), "estimate": p.shard.durationPredictor(step.job.job.Queue, step.spec).Predict(step.spec.Estimate).String(),
-		"steps_waiting": p.waitingCount, "workers": len(p.workers), "fence": p.shard.opts.Fence,
+		"steps_waiting": p.waitingCount, "workers": len(p.workers), "fence": p.shard.opts.Fence, "acquisition": p.shard.opts.Acquisition,
 	}
 	p.shard.addInheritedFields(fields, step)
 	p.shard.recordEvent(eventlog.TasksStarted, fields)
--- a/jobs/shard/rig_test.go
+++ b/jobs/shard/rig_test.go
@@ -191,7 +191,7 @@
 		store = r.ownerStore
 	}
 	s, err := New(Options{
-		Pool: pool, Owner: fmt.Sprintf("owner-%d", r.fence), Fence: r.fence,
+		Pool: pool, Owner: fmt.Sprintf("owner-%d", r.fence), Fence: r.fence, Acquisition: 1,
 		LeaseDuration: testLease, MaxLease: r.fleet.MaxLease, KeepEnded: 10 * time.Minute, StopTime: testStopTime,
 		Store: store, Workers: client, Adviser: r.adviser, Loop: o.loop, Recorder: r.recorder,
 		OwnsShard: o.ownsShard.Load, OnLost: func() { o.lost.Store(true) },
--- a/jobs/shard/trace.go
+++ b/jobs/shard/trace.go
@@ -140,7 +140,7 @@
 // recordClaim records the claim of the head row and the owner that wrote it before, as read in
 // the given version. If an earlier claim is found, its line names the former owner.
 func (s *Shard) recordClaim(former, claimed *jobpb.Head, read rows.Version, outcome claimOutcome) {
-	fields := eventlog.Fields{"fence": claimed.Fence, "generation": claimed.Generation, "outcome": string(outcome)}
+	fields := eventlog.Fields{"fence": claimed.Fence, "generation": claimed.Generation, "acquisition": s.opts.Acquisition, "outcome": string(outcome)}
 	if outcome == claimFound {
 		fields["head"] = read
 	} else {
@@ -172,7 +172,7 @@
 		}
 	}
 	s.recordEvent(eventlog.ShardLoaded, eventlog.Fields{
-		"fence": s.opts.Fence, "generation": generation, "jobs": len(s.jobs), "queues": len(s.storedQueues), "workers": s.unaccountedWorkers,
+		"fence": s.opts.Fence, "generation": generation, "acquisition": s.opts.Acquisition, "jobs": len(s.jobs), "queues": len(s.storedQueues), "workers": s.unaccountedWorkers,
 		"done_tasks": done, "failed_runs": failures, "ended_jobs": len(s.ended), "head": s.journal.head,
 	})
 }
--- a/jobs/shard/traceends.go
+++ b/jobs/shard/traceends.go
@@ -154,7 +154,7 @@
 	fields := s.workerFields(w)
 	fields["number"], fields["task"], fields["run"] = end.Number, end.Task.String(), end.Run
 	fields["outcome"], fields["reason"], fields["left_out"] = end.Outcome.String(), reason, leftOut
-	fields["generation"], fields["registered"] = s.journal.generation, w.registered
+	fields["generation"], fields["acquisition"], fields["registered"] = s.journal.generation, s.opts.Acquisition, w.registered
 	s.recordEvent(eventlog.EndIgnored, fields)
 }
 
--- a/jobs/shard/traceowners.go
+++ b/jobs/shard/traceowners.go
@@ -14,7 +14,10 @@
 
 // recordLost records that this process has noticed another owner, and what has shown it.
 func (s *Shard) recordLost(reason string, evidence eventlog.Fields) {
-	fields := eventlog.Fields{"reason": reason, "fence": s.opts.Fence, "owner": s.opts.Owner, "generation": s.journal.generation, "sequence": s.journal.sequence}
+	fields := eventlog.Fields{
+		"reason": reason, "fence": s.opts.Fence, "owner": s.opts.Owner, "acquisition": s.opts.Acquisition, "generation": s.journal.generation,
+		"sequence": s.journal.sequence,
+	}
 	maps.Copy(fields, evidence)
 	s.recordEvent(eventlog.ShardLost, fields)
 }
--- a/jobs/shard/traceowners_test.go
+++ b/jobs/shard/traceowners_test.go
@@ -16,6 +16,7 @@
 	o := &owner{rig: r.rig, loop: first.loop}
 	opts := first.opts
 	o.ownsShard.Store(true)
+	opts.Acquisition++
 	opts.OwnsShard, opts.OnLost = o.ownsShard.Load, func() { o.lost.Store(true) }
 	s, err := New(opts)
 	assert.NilError(r.t, err)
@@ -94,3 +95,29 @@
 		wantFields(t, r.only(eventlog.ShardLost), map[string]any{"owner": "owner-1", "fence": 1, "head_owner": "owner-2", "head_fence": 2, "head_generation": 1})
 	})
 }
+
+// Guards against two owner objects of one shard under one ownership whose lines look like those of one.
+func TestLinesTellOwnerObjectsApart(t *testing.T) {
+	withEvents(t, 1, func(r *eventRig) {
+		first := r.startHour()
+		second := r.startAgain(first)
+		r.applyEnds(second, unknownJob, 1)
+		r.callOnLoop(func() {
+			w := second.workers["w0"]
+			second.ownsShard.Store(false) // The run of the first owner goes on.
+			second.applyStatus(w, second.nextLogicalTime(), statusWithRuns(w, unknownJob, 0, 1))
+			second.relinquish("test", nil)
+		})
+		for _, code := range []eventlog.Code{eventlog.HeadClaimed, eventlog.ShardLoaded} {
+			lines := r.events(code)
+			assert.Equal(t, len(lines), 2)
+			wantFields(t, lines[0], map[string]any{"fence": 1, "generation": 1, "acquisition": 1})
+			wantFields(t, lines[1], map[string]any{"fence": 1, "generation": 1, "acquisition": 2})
+		}
+		wantFields(t, r.events(eventlog.HeadClaimed)[1], map[string]any{"outcome": claimFound})
+		wantFields(t, r.only(eventlog.TasksStarted), map[string]any{"fence": 1, "acquisition": 1})
+		for _, code := range []eventlog.Code{eventlog.EndIgnored, eventlog.StopOrdered, eventlog.ShardLost} {
+			wantFields(t, r.events(code)[0], map[string]any{"fence": 1, "generation": 1, "acquisition": 2})
+		}
+	})
+}
--- a/jobs/shard/tracestops.go
+++ b/jobs/shard/tracestops.go
@@ -59,7 +59,7 @@
 	}
 	fields := eventlog.Fields{
 		"worker": a.worker.info.ID, "born": a.worker.info.StartedUnixMs, "registered": a.worker.registered, "task": a.ref.String(), "run": a.run,
-		"fence": s.opts.Fence, "generation": s.journal.generation, "worker_fence": a.worker.fence, "right": s.canAct(),
+		"fence": s.opts.Fence, "acquisition": s.opts.Acquisition, "generation": s.journal.generation, "worker_fence": a.worker.fence, "right": s.canAct(),
 		"reason": string(reason), "left_out": leftOut, "listed": a.timing.listedClock > 0, "start_answered": s.startAnswered(a),
 	}
 	if a.startedAt > 0 {
--- a/peridotcrank/jobproc/ownership.go
+++ b/peridotcrank/jobproc/ownership.go
@@ -25,14 +25,14 @@
 // Acquired implements [cluster.Listener].
 func (o *ownership) Acquired(name string, fence uint64) {
 	p := (*Process)(o)
-	p.log.Record(eventlog.ShardAcquired, eventlog.Fields{"shard": name, "fence": fence})
+	number := p.recordAcquired(name, fence)
 	if name == fleetShard {
 		p.startFleetManager(fence)
 		return
 	}
 	scope := p.newScope(name, fence)
 	s, err := shard.New(shard.Options{
-		Pool: name, Owner: fmt.Sprintf("%s/%d", p.currentSettings().Member, fence), Fence: fence,
+		Pool: name, Owner: fmt.Sprintf("%s/%d", p.currentSettings().Member, fence), Fence: fence, Acquisition: number,
 		LeaseDuration: min(maxWorkerLease, p.currentSettings().Leases.MaxHold),
 		MaxLease:      p.currentSettings().Leases.MaxHold,
 		KeepEnded:     p.currentSettings().Timing.KeepEnded + retentionMargin,
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -49,7 +49,8 @@
 	// The fields below belong to the control loop.
 	shards        map[string]*shard.Shard
 	scopes        map[string]*loop.Scope // Scopes of the owned shards, including the fleet's.
-	fleetManager  *maintenance.Manager   // Nil unless this process owns the fleet's shard.
+	acquisitions  acquisitions
+	fleetManager  *maintenance.Manager // Nil unless this process owns the fleet's shard.
 	poolNames     []string
 	sparePool     string
 	waves         []maintenance.Wave
--- a/peridotcrank/jobproc/reload_test.go
+++ b/peridotcrank/jobproc/reload_test.go
@@ -45,6 +45,18 @@
 	return strings.Count(l.text.String(), `"event":"`+event+`"`)
 }
 
+// lines returns the lines of an event.
+func (l *logBuffer) lines(event string) (found []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range strings.Lines(l.text.String()) {
+		if strings.Contains(line, `"event":"`+event+`"`) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
 // Guards against changes of the settings file that are not applied, with or without a
 // signal, and against an invalid file that replaces the settings or ends the process.
 func TestSettingsAreReadAgain(t *testing.T) {
