explain: tell owner objects of one ownership apart

explain printed stops and ends of unknown jobs among its lines, but drew nothing from them: a task started again by a second owner object under the same fence got "no line gives a reason", and a shard-acquired that repeats a fence was left out when it was older than 15 s.

Below each start explain now names the stops and ends of that run by owners that did not know it. A start by another acquisition under the same fence has that as its reason, and a last line names each shard, process and fence with more than one owner object. shard-acquired with previous_fence equal to fence, and shard-lost with head_owner equal to owner, are printed for related shards whatever their time.

TestExplainTellsOwnerObjectsApart fails before and passes now; TestExplainOfTakeoversNamesNoRepeatedOwnership guards against a false report.

--- a/peridotcrank/cli/explain.go
+++ b/peridotcrank/cli/explain.go
@@ -50,7 +50,8 @@
 // Execute reads the logs of all processes from standard input, in any order, and
 // prints the events of one id: the lines that contain the id, and the events of
 // related shards, workers, workspaces and owners between the first and the last of these
-// lines. Tasks that were started more than once follow, with the reason for each start.
+// lines. Tasks that were started more than once follow, with the reason for each start, and
+// shards with two owner objects under one fence.
 func (c *explainCommand) Execute([]string) error {
 	in := c.in
 	if in == nil {
@@ -68,7 +69,7 @@
 		for _, l := range relevant {
 			t.line(fmt.Sprintf("%s  %-20s %-22s %s", l.Time, l.Process, l.Event, l.details()))
 		}
-		for _, text := range repeatedStarts(relevant) {
+		for _, text := range append(repeatedStarts(relevant), repeatedOwnerships(relevant)...) {
 			t.line(text)
 		}
 	})
@@ -168,6 +169,9 @@
 
 // includes reports whether a line without the id explains what happened to it.
 func (s *span) includes(l logLine) bool {
+	if l.showsRepeatedOwnership() && s.related[l.text("shard")] {
+		return true // It affects all later jobs of the shard, and may show only afterwards.
+	}
 	if l.logical > s.last || l.logical < s.first && !(lastingEvents[l.Event] && s.first-l.logical <= eventlog.Pack(time.UnixMilli(lastingTime.Milliseconds()), 0)) {
 		return false
 	}
--- a/peridotcrank/cli/explainruns.go
+++ b/peridotcrank/cli/explainruns.go
@@ -17,7 +17,7 @@
 // repeatedStarts returns, for each task that was started more than once, a line with the task
 // and one with each start and its reason.
 func repeatedStarts(lines []logLine) (texts []string) {
-	starts, e := map[string][]startedRun{}, evidence{ends: map[string]string{}, joined: map[string]logLine{}}
+	starts, e := map[string][]startedRun{}, evidence{ends: map[string]string{}, joined: map[string]logLine{}, unknown: map[string][]logLine{}}
 	for _, l := range lines {
 		switch l.Event {
 		case "tasks-started":
@@ -31,6 +31,11 @@
 			noteFormerRuns(starts, l)
 		case "task-failed", "start-refused":
 			e.ends[fmt.Sprintf("%s/%v", l.text("task"), l.fields["run"])] = l.Event
+		case "stop-ordered", "end-ignored":
+			if strings.HasPrefix(l.text("reason"), "unknown-") {
+				run := fmt.Sprintf("%s/%v", l.text("task"), l.fields["run"])
+				e.unknown[run] = append(e.unknown[run], l)
+			}
 		case "worker-joined":
 			e.joined[l.Process+" "+l.text("worker")] = l
 		}
@@ -47,6 +52,8 @@
 type evidence struct {
 	ends   map[string]string  // Events that ended a run, by TASK/RUN.
 	joined map[string]logLine // First replies of workers to their owners, by process and worker.
+	// unknown are the lines of owners that did not know a run, by TASK/RUN.
+	unknown map[string][]logLine
 }
 
 // noteFormerRuns adds the former runs that a line tasks-restarted names to the starts of the
@@ -68,6 +75,9 @@
 			text += ": " + e.reasonOfStart(task, runs[i-1], r)
 		}
 		texts = append(texts, text)
+		for _, l := range e.unknown[task+"/"+r.run] {
+			texts = append(texts, fmt.Sprintf("    %s (%s) by %s, fence %v, acquisition %v, at %s", l.Event, l.text("reason"), l.Process, l.fields["fence"], l.fields["acquisition"], l.Time))
+		}
 	}
 	return texts
 }
@@ -82,6 +92,9 @@
 	}
 	before, after := fmt.Sprint(former.line.fields["fence"]), fmt.Sprint(next.line.fields["fence"])
 	if before == after {
+		if a, b := former.line.fields["acquisition"], next.line.fields["acquisition"]; a != b && former.line.Process == next.line.Process {
+			return fmt.Sprintf("another owner object with the same fence (acquisition %v after %v)", b, a)
+		}
 		return "no line gives a reason"
 	}
 	text := fmt.Sprintf("another owner, which knew of no run (fence %s after %s); to it, %s ", after, before, former.worker)
--- a/peridotcrank/cli/explainruns_test.go
+++ b/peridotcrank/cli/explainruns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -72,3 +73,58 @@
 	assert.Assert(t, strings.Contains(lines[0], "unanswered_ack=12"))
 	assert.Assert(t, strings.Contains(lines[5], "not-listed"))
 }
+
+// Guards against an explanation that does not say that two owner objects of one process had a shard
+// under one fence, or which of them stopped a run of the other and took its end.
+func TestExplainTellsOwnerObjectsApart(t *testing.T) {
+	const step = `"field.job":"aa11","field.step":"aa11.0.0","field.shard":"s","field.fence":4`
+	const other = `"field.shard":"s","field.fence":4,"field.acquisition":2,"field.reason":"unknown-job","field.worker":"w1","field.task":"aa11.0.0.0","field.run":1`
+	const acquired = `"field.shard":"s","field.fence":4,"field.acquisition":2,"field.previous_fence":4`
+	const hour = 3_600_000 << 16
+	lines := explain(t, "aa11",
+		logEntry(1, "p1", "shard-acquired", `"field.shard":"s","field.fence":4,"field.acquisition":1,"field.previous_fence":3`), // More than 15 s before.
+		logEntry(2, "p1", "shard-acquired", acquired),
+		logEntry(3, "p2", "shard-acquired", strings.Replace(acquired, `"s"`, `"other"`, 1)),
+		logEntry(hour+1, "p1", "tasks-started", step+`,"field.acquisition":1,"field.tasks":"0/1@w1 1/1@w1"`),
+		logEntry(hour+2, "p1", "stop-ordered", other),
+		logEntry(hour+3, "p1", "end-ignored", other+`,"field.outcome":"done"`),
+		logEntry(hour+4, "p1", "tasks-started", step+`,"field.acquisition":1,"field.tasks":"0/2@w1"`),
+		logEntry(hour+4, "p1", "tasks-restarted", step+`,"field.former":"0/1@w1:not-listed"`),
+		logEntry(hour+5, "p1", "tasks-started", step+`,"field.acquisition":2,"field.tasks":"1/2@w2"`),
+		logEntry(hour+6, "p1", "shard-lost", `"field.shard":"s","field.fence":4,"field.acquisition":1,"field.owner":"p1/4","field.head_owner":"p1/4"`),
+		logEntry(hour+7, "p1", "shard-lost", `"field.shard":"s","field.fence":4,"field.acquisition":1,"field.owner":"p1/4","field.head_owner":"p2/9"`),
+	)
+	var events []string
+	for _, line := range lines[:8] {
+		events = append(events, strings.Fields(line)[2])
+	}
+	assert.DeepEqual(t, events, []string{
+		"shard-acquired", "tasks-started", "stop-ordered", "end-ignored", "tasks-started", "tasks-restarted", "tasks-started", "shard-lost",
+	})
+	assert.Assert(t, strings.Contains(lines[0], "previous_fence=4"))
+	assert.DeepEqual(t, lines[8:], []string{
+		"aa11.0.0.0 was started 2 times:",
+		fmt.Sprintf("  run 1 on w1 by p1, fence 4, at t%d", hour+1),
+		fmt.Sprintf("    stop-ordered (unknown-job) by p1, fence 4, acquisition 2, at t%d", hour+2),
+		fmt.Sprintf("    end-ignored (unknown-job) by p1, fence 4, acquisition 2, at t%d", hour+3),
+		fmt.Sprintf("  run 2 on w1 by p1, fence 4, at t%d: run 1@w1:not-listed", hour+4),
+		"aa11.0.0.1 was started 2 times:",
+		fmt.Sprintf("  run 1 on w1 by p1, fence 4, at t%d", hour+1),
+		fmt.Sprintf("  run 2 on w2 by p1, fence 4, at t%d: another owner object with the same fence (acquisition 2 after 1)", hour+5),
+		"s had 2 owner objects in p1 with fence 4: acquisitions 1 2",
+	})
+}
+
+// Guards against an explanation that takes each takeover for a second owner object.
+func TestExplainOfTakeoversNamesNoRepeatedOwnership(t *testing.T) {
+	lines := explain(t, "aa11",
+		logEntry(1, "p1", "shard-acquired", `"field.shard":"s","field.fence":4,"field.acquisition":1`),
+		logEntry(2, "p1", "tasks-started", `"field.job":"aa11","field.step":"aa11.0.0","field.shard":"s","field.fence":4,"field.acquisition":1,"field.tasks":"0/1@w1"`),
+		logEntry(3, "p2", "shard-acquired", `"field.shard":"s","field.fence":5,"field.acquisition":2,"field.previous_fence":3`),
+		logEntry(4, "p1", "shard-lost", `"field.shard":"s","field.fence":4,"field.acquisition":1,"field.owner":"p1/4","field.head_owner":"p2/5"`),
+		logEntry(5, "p1", "shard-acquired", `"field.shard":"s","field.fence":6,"field.acquisition":2,"field.previous_fence":4`),
+		logEntry(6, "p1", "job-ended", `"field.job":"aa11"`),
+	)
+	assert.Equal(t, len(lines), 6)
+	assert.Assert(t, !strings.Contains(strings.Join(lines, "\n"), "owner objects"))
+}
