Soak: fault of stale reads of the owners, and a check of double acquisitions

A read of the owner rows that the store executes before a takeover, and whose result a process handles after it, lets the process take the shard over again and acquire it a second time with the same fence. No fault of the soak aimed at this order of events.

The fault staleread holds up the results of the reads of the cluster table for 30 to 300 ms after their execution, kills the owner of a pool and starts it again, and lets callers ask for jobs of that pool meanwhile, so that processes read the rows again at once. Transactions take 3 ms, or 6 ms over several parts, in runs that name the fault: with a store that executes them at once, no read precedes a takeover. A check fails a run when the log of a process shows a shard as acquired twice with the same fence.

--- a/testbed/soak/checks_test.go
+++ b/testbed/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -132,6 +133,21 @@
 	assert.Equal(t, len(k.checkLog(file)), 2)
 }
 
+// Guards against a check of logs that misses a second acquisition with the same fence, or reports
+// those with other fences, of other shards or with output that is no event.
+func TestAcquisitionCheckDetectsSameFence(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "log")
+	event := func(code int, shard string, fence int) string {
+		return fmt.Sprintf(`{"code":%d,"event":"e","field.fence":%d,"field.shard":%q}`+"\n", code, fence, shard)
+	}
+	once := event(4510, "a", 3) + event(4510, "b", 3) + event(4511, "a", 3) + "panic: {\n" + event(4510, "a", 5)
+	assert.NilError(t, os.WriteFile(file, []byte(once), 0o600))
+	assert.Equal(t, len(checkAcquisitions(file)), 0)
+	assert.NilError(t, os.WriteFile(file, []byte(once+event(4510, "a", 3)+event(4510, "b", 3)[:30]), 0o600))
+	assert.DeepEqual(t, checkAcquisitions(file), []string{file + ": shard a acquired again with fence 3"})
+	assert.Equal(t, len(checkAcquisitions(file+"-missing")), 1)
+}
+
 // Guards against a check of caps that misses an excess or counts other workspaces.
 func TestCapCheckDetectsExcess(t *testing.T) {
 	tasks := func(id job.ID, n int) (list []job.TaskRef) {
@@ -167,7 +183,7 @@
 	r.options.Pools, r.options.Workers = defaultPools, defaultWorkers
 	r.platform = &standin.Platform{Store: &rowstest.Store{}}
 	starters := r.faultStarters(rand.New(rand.NewPCG(1, 1)))
-	for _, name := range append(slices.Clone(faultNames), lateFault, slowFault) {
+	for _, name := range append(slices.Clone(faultNames), lateFault, slowFault, staleReadFault) {
 		assert.Assert(t, starters[name] != nil, name)
 	}
 }
--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -74,6 +74,8 @@
 		duration = randomDuration(rng, minBriefFault, maxBriefFault)
 	case recutFault, recutKillFault:
 		duration = randomDuration(rng, minRecut, maxRecut)
+	case staleReadFault:
+		duration = randomDuration(rng, minStaleRead, maxStaleRead)
 	}
 	startFault := starters[name]
 	if startFault == nil {
@@ -191,6 +193,9 @@
 		recutKillFault: func() (string, func()) {
 			return r.restartAndCut(pool, rand.New(rand.NewPCG(uint64(faultNumber), 4)), true)
 		},
+		staleReadFault: func() (string, func()) {
+			return r.holdReadsAndKill(poolNumber, rand.New(rand.NewPCG(uint64(faultNumber), 5)))
+		},
 		lossFault: func() (string, func()) { return r.loseReplies(pool) },
 		lullFault: r.suspendLoad,
 		slowStoreFault: func() (string, func()) {
--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -143,6 +143,9 @@
 		r.platform.Fleet.Delay = lateDelay
 		r.platform.Fleet.DeliverToNewIncarnation = true
 	}
+	if slices.Contains(r.options.Faults, staleReadFault) {
+		r.platform.TransactionTime = transactionTime
+	}
 	capacity := job.Resources{CPU: r.options.WorkerCPU, MemoryMB: standin.Capacity.MemoryMB}
 	for pool := range r.options.Pools {
 		if err := r.platform.AddWorkers(poolName(pool), r.options.Workers, capacity); err != nil {
@@ -287,6 +290,7 @@
 	violations := append(r.callers.violations, r.platform.Fleet.Violations()...)
 	for _, p := range r.processes {
 		violations = append(violations, r.keys.checkLog(p.logFile.Name())...)
+		violations = append(violations, checkAcquisitions(p.logFile.Name())...)
 	}
 	accepted := 0
 	for _, s := range r.callers.jobs {
--- a/testbed/standin/platform.go
+++ b/testbed/standin/platform.go
@@ -26,6 +26,9 @@
 	// OrderLog receives a line for each order that a worker has handled, unless it is nil. It is
 	// set before workers are added.
 	OrderLog io.Writer
+	// TransactionTime is the time from a transaction of one part to its execution. One over several
+	// parts takes twice as long. It is set before the store is used.
+	TransactionTime time.Duration
 
 	mu       sync.Mutex
 	servers  []*http.Server
@@ -36,7 +39,8 @@
 	// replyDelay is how long the replies to all orders to workers are on their way.
 	replyDelay time.Duration
 	// heldUp are the workers whose calls are held up. The channel is closed when they go on.
-	heldUp map[worker.ID]chan struct{}
+	heldUp    map[worker.ID]chan struct{}
+	heldPages map[*heldPages]bool
 	// replyLoss are the numbers of replies of which one is lost, by pool.
 	replyLoss map[string]int
 	replies   int // Number of replies so far.
@@ -61,7 +65,7 @@
 	p := &Platform{
 		Store: &rowstest.Store{}, Fleet: workertest.New(planRun),
 		machines: map[string]*machine{}, workers: map[worker.ID]*incarnation{},
-		cuts: map[string]cut{}, heldUp: map[worker.ID]chan struct{}{}, replyLoss: map[string]int{},
+		cuts: map[string]cut{}, heldUp: map[worker.ID]chan struct{}{}, heldPages: map[*heldPages]bool{}, replyLoss: map[string]int{},
 	}
 	var err error
 	if p.StoreAddress, err = p.serve(p.storeHandler()); err != nil {
--- a/testbed/standin/store.go
+++ b/testbed/standin/store.go
@@ -62,6 +62,7 @@
 	for _, d := range body.Delete {
 		tx.Delete = append(tx.Delete, d.key())
 	}
+	time.Sleep(p.transactionTime(tx))
 	result, err := p.Store.Commit(r.Context(), tx)
 	switch {
 	case errors.Is(err, rows.ErrNotExecuted):
@@ -75,9 +76,18 @@
 	}
 }
 
+// transactionTime returns how long a transaction takes.
+func (p *Platform) transactionTime(tx rows.Tx) time.Duration {
+	if tx.CrossPart {
+		return 2 * p.TransactionTime
+	}
+	return p.TransactionTime
+}
+
 func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	page, err := p.Store.Read(r.Context(), q.Get("table"), q.Get("part"), q.Get("from"))
+	p.holdPage(r.Context(), q.Get("table"))
 	servePage(w, page, err)
 }
 
@@ -94,6 +104,7 @@
 		return
 	}
 	page, err := p.Store.Feed(r.Context(), q.Get("table"), after, time.Duration(wait)*time.Millisecond)
+	p.holdPage(r.Context(), q.Get("table"))
 	servePage(w, page, err)
 }
 
