A next owner waits for the former owner's lease also after a worker has replied

Cause: a worker that has restarted may have the longest lease that the platform permits. The former owner knows that and writes it into the head row. The next owner waited for it only while the worker had not replied; after one reply it counted the shorter lease that it had granted itself.

Now the runs of a worker that a former owner has used are given up when the leases of all owners have expired.

--- a/jobs/shard/silence.go
+++ b/jobs/shard/silence.go
@@ -118,7 +118,13 @@
 // reply until then.
 func (s *Shard) endsWithoutReply(w *workerState, at time.Duration) bool {
 	answeredRunsEnd, _ := s.formerOrdersEnd(w)
-	return w.leaseExpired(at) || w.neverReplied() && at > answeredRunsEnd || s.inheritedLeaseExpired(w, at)
+	return s.leasesExpired(w, at) || w.neverReplied() && at > answeredRunsEnd || s.inheritedLeaseExpired(w, at)
+}
+
+// leasesExpired reports whether a worker that does not reply has runs, and its leases from this owner and
+// from former ones, which may be longer, have expired.
+func (s *Shard) leasesExpired(w *workerState, at time.Duration) bool {
+	return w.leaseExpired(at) && (!w.inherited || at > s.inheritedLeasesEnd(s.inheritedLease))
 }
 
 // inheritedLeaseExpired reports whether the leases of a worker from former owners have expired,
@@ -149,7 +155,7 @@
 
 // giveUpExpiredLease gives up the runs that have ended because the worker's lease has expired.
 func (s *Shard) giveUpExpiredLease(w *workerState, now time.Duration, e silenceEvidence) {
-	if !w.leaseExpired(now) {
+	if !s.leasesExpired(w, now) {
 		return
 	}
 	ended := s.runsBeforeLeaseExpiry(w, now)
