A shard that panics while it stops does not act on

A shard is given up after an unexpected error in its handlers; if the same fault struck again while the last line about its ends was put together, it was never marked as stopped and kept sending orders under its fence.

Now it is marked first.

--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -112,8 +112,8 @@
 	if s.stopped {
 		return
 	}
+	s.stopped = true // First, so that the shard does not act on if a fault in its state strikes again.
 	s.recordLastEndsStored()
-	s.stopped = true
 	for _, js := range s.jobs {
 		code := Unknown
 		if !js.stored && !s.journal.mayHaveSentRow(js) {
