An owner object does not take another one's transaction for its own

Owner objects were told apart by process and fence, transactions by their number within the owner. So a job was accepted and not stored, or ends were acknowledged and not stored.

Now the head row has a random number of the owner object. A second object takes the shard over with the next generation, and the first one loses it.

--- a/jobs/shard/claim.go
+++ b/jobs/shard/claim.go
@@ -54,7 +54,7 @@
 		}
 		version = row.Version
 	}
-	if head.Owner == s.opts.Owner {
+	if s.isOwn(head) {
 		s.recordClaim(nil, head, version, claimFound)
 		return head, version, nil // An earlier attempt took effect.
 	}
@@ -63,7 +63,7 @@
 	}
 	next := &jobpb.Head{
 		Owner: s.opts.Owner, Generation: head.Generation + 1, HoldMs: max(head.HoldMs, s.opts.LeaseDuration.Milliseconds()),
-		Fence: s.opts.Fence,
+		Fence: s.opts.Fence, Object: s.object,
 	}
 	value, err := proto.Marshal(next)
 	if err != nil {
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -133,7 +133,7 @@
 func (s *Shard) buildBatch() (*batch, error) {
 	j := &s.journal
 	b := &batch{sequence: j.sequence + 1, appliedEnds: map[*workerState]uint64{}}
-	head := &jobpb.Head{Owner: s.opts.Owner, Sequence: b.sequence, Generation: j.generation, HoldMs: s.longestLease(s.opts.Clock()).Milliseconds(), Fence: s.opts.Fence}
+	head := &jobpb.Head{Owner: s.opts.Owner, Sequence: b.sequence, Generation: j.generation, HoldMs: s.longestLease(s.opts.Clock()).Milliseconds(), Fence: s.opts.Fence, Object: s.object}
 	if err := b.setRow(s.headKey(), head); err != nil {
 		return nil, err
 	}
@@ -314,12 +314,18 @@
 // was lost.
 func (s *Shard) findOwnHead(found []rows.Row, sequence uint64) (rows.Version, bool) {
 	head, version := findHead(found)
-	if head == nil || head.Owner != s.opts.Owner || head.Sequence != sequence {
+	if head == nil || !s.isOwn(head) || head.Sequence != sequence {
 		return 0, false
 	}
 	return version, true
 }
 
+// isOwn reports whether this owner object wrote a head row. Another one may have the same name and
+// fence.
+func (s *Shard) isOwn(head *jobpb.Head) bool {
+	return head.Owner == s.opts.Owner && head.Object == s.object
+}
+
 // findHead returns the head row of the shard among the rows that a rejected transaction expected, or
 // nil.
 func findHead(found []rows.Row) (*jobpb.Head, rows.Version) {
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"peridotcrank.dev/eventlog"
@@ -13,7 +14,9 @@
 // Shard schedules and runs the jobs of one pool. All its methods must be called on the
 // control loop.
 type Shard struct {
-	opts    Options
+	opts Options
+	// object is a random number that tells this owner object from others with the same name.
+	object  uint64
 	journal journal
 	queues  Queues
 	// storedQueues are the queues with a row, as the row describes them.
@@ -88,7 +91,7 @@
 		opts.WallClock = time.Now
 	}
 	s := &Shard{
-		opts: opts, queues: Queues{}, storedQueues: map[job.Queue]storedQueue{}, jobs: map[job.ID]*jobState{}, ended: map[job.ID]endedJob{},
+		opts: opts, object: rand.Uint64(), queues: Queues{}, storedQueues: map[job.Queue]storedQueue{}, jobs: map[job.ID]*jobState{}, ended: map[job.ID]endedJob{},
 		workers: map[worker.ID]*workerState{}, removedWorkers: map[worker.ID]removedWorker{}, unansweredStarts: map[worker.ID]map[runKey]unansweredStart{}, statusCalls: map[worker.ID]map[logicalTime]struct{}{}, startableSteps: map[*stepState]struct{}{}, delayedSteps: map[*stepState]struct{}{},
 		predictors: map[job.Queue]*scheduler.DurationPredictor{}, starts: newStartWindow(),
 		idHomes: map[job.QueueAddress]string{}, homeRequests: map[job.QueueAddress]homeRequest{},
