Drawn histories of the ownership: calls overtake each other while processes fail, leave and renounce

The tests of jobs/cluster gave all calls the same time, so that no read could be executed before a takeover and arrive after it. TestRandomOwnership draws the time of each request and each reply, lost, rejected and late calls, cuts, kills, planned ends, restarts under the same name, renounced shards, handovers, and callers that request reads every 5 to 60 ms. It checks that at most one process may act for a shard, that each acquisition follows a release and has a higher fence, that a process whose calls are slower than usual but below the call timeout keeps its lease, and that all shards have an owner, and the directories agree, 7.7 s (lease, expiry margin, longest vacancy, three reads) after the last late call.

--- a/jobs/cluster/manager_test.go
+++ b/jobs/cluster/manager_test.go
@@ -43,6 +43,7 @@
 	reads       atomic.Int32
 	// readReplyTime is how long the reply to a read of changes is on its way.
 	readReplyTime atomic.Int64
+	draw          func() course // Draws the course of each call; nil for calls without one.
 }
 
 func (f *faultyStore) setFault(fault rowstest.Fault) { f.activeFault.Store(uint32(fault)) }
@@ -61,7 +62,7 @@
 		<-ctx.Done()
 		return rows.Result{}, rowstest.ErrNoReply
 	}
-	return f.Store.Commit(ctx, tx)
+	return follow(ctx, f, func(ctx context.Context) (rows.Result, error) { return f.Store.Commit(ctx, tx) })
 }
 
 func (f *faultyStore) Read(ctx context.Context, table, part, from string) (rows.Page, error) {
@@ -73,7 +74,7 @@
 		<-ctx.Done()
 		return rows.Page{}, rowstest.ErrNoReply
 	}
-	return f.Store.Read(ctx, table, part, from)
+	return follow(ctx, f, func(ctx context.Context) (rows.Page, error) { return f.Store.Read(ctx, table, part, from) })
 }
 
 func (f *faultyStore) Feed(ctx context.Context, table string, after rows.Version, wait time.Duration) (rows.Page, error) {
@@ -84,7 +85,7 @@
 		<-ctx.Done()
 		return rows.Page{}, rowstest.ErrNoReply
 	}
-	page, err := f.Store.Feed(ctx, table, after, wait)
+	page, err := follow(ctx, f, func(ctx context.Context) (rows.Page, error) { return f.Store.Feed(ctx, table, after, wait) })
 	time.Sleep(time.Duration(f.readReplyTime.Load()))
 	return page, err
 }
