Drawn histories in which a process gives a shard up and takes it again within 0.1 to 0.3 s

The drawn histories replaced an owner at once or after seconds, and cancelled no job.

It is no reproduction of the record, which takes two owners under one fence.

--- a/jobs/shard/random_test.go
+++ b/jobs/shard/random_test.go
@@ -73,6 +73,8 @@
 	// lateRestarts adds restarts that the registry lists later.
 	lateRestarts bool
 	lateEntries  []lateEntry // In the order of their times.
+	// quickTakeovers adds owners that are stopped, and replaced soon after, beside cancelled jobs.
+	quickTakeovers bool
 }
 
 // lateEntry is a registry entry that is not listed yet.
@@ -106,6 +108,9 @@
 		if x.lateRestarts && rng.IntN(6) == 0 {
 			x.restartBeforeRegistry()
 		}
+		if x.quickTakeovers && rng.IntN(2) == 0 {
+			x.takeOverSoon()
+		}
 		if rng.IntN(4) == 0 {
 			x.injectFault()
 		}
