An end that shows a task as done is applied although its run was given up

A status that was overtaken for over 2 s was the only one that listed the end of a run; its run counted as gone meanwhile, so the end was ignored, and the task started again, or went on running.

Now such an end marks the task as done, whatever became of the run. A start that was ordered before cannot be taken back.

--- a/jobs/shard/ends.go
+++ b/jobs/shard/ends.go
@@ -33,8 +33,8 @@
 	s.checkEndNumbers(w, status.EndedRuns)
 	s.proveNumbers(w, sent, status)
 	for _, end := range status.EndedRuns {
-		if end.Number <= w.lastAppliedEnd && w.attempts[runKey{end.Task, end.Run}] == nil {
-			continue // A status of the same clock value may list an earlier end than the last one did.
+		if end.Number <= w.lastAppliedEnd && !s.isExpected(w, end) {
+			continue // Otherwise a status of the same clock value may list an earlier end than the last one did.
 		}
 		w.lastAppliedEnd = max(w.lastAppliedEnd, end.Number)
 		s.applyRunEnd(w, end)
@@ -68,11 +68,25 @@
 	s.flush()
 }
 
-// applyOvertakenEnds applies the ends in a status that a later one has overtaken, if their runs are
-// still expected. Other ends are listed again until they are acknowledged.
+// isExpected reports whether the end of a run tells something new: the run is expected, or it was given up
+// and shows its task as done.
+func (s *Shard) isExpected(w *workerState, end worker.RunEnd) bool {
+	if w.attempts[runKey{end.Task, end.Run}] != nil {
+		return true
+	}
+	js := s.jobs[end.Task.Job]
+	if js == nil || end.Outcome != worker.Done {
+		return false
+	}
+	t := js.task(end.Task)
+	return t != nil && !t.done && !t.step.spec.LongRunning
+}
+
+// applyOvertakenEnds applies the expected ends in a status that a later one has overtaken: the worker may
+// list them only once. Other ends are listed again until they are acknowledged.
 func (s *Shard) applyOvertakenEnds(w *workerState, ends []worker.RunEnd) {
 	for _, end := range ends {
-		if w.attempts[runKey{end.Task, end.Run}] != nil {
+		if s.isExpected(w, end) {
 			s.applyRunEnd(w, end)
 		}
 	}
