A renewal that falls due while another one is in flight is not dropped

Found by drawn histories of the ownership: a process whose calls are only slow lost its lease for about 0.1 s. The reply to a renewal cleared the mark that the next one was due, which a tick had set meanwhile; the next tick is 0.8 s later, or 1.6 s in a process without shards.

Now the mark is cleared when a renewal is sent.

--- a/jobs/cluster/manager.go
+++ b/jobs/cluster/manager.go
@@ -169,6 +169,7 @@
 }
 
 func (m *Manager) sendRenewal() {
+	m.renewDue = false // A tick meanwhile makes the next one due.
 	m.renewalNumber++
 	record := &jobpb.Member{Incarnation: m.incarnation, Address: m.o.Address, Beat: m.renewalNumber, Leaving: m.leaving, CpuMilli: m.o.CPU}
 	value, err := proto.Marshal(record)
@@ -206,13 +207,14 @@
 	default:
 		m.reconcileRejectedRenewal(result.CurrentRows)
 	}
-	m.renewDue = err != nil || !result.Applied
+	failed := err != nil || !result.Applied
+	m.renewDue = m.renewDue || failed
 	if errors.Is(err, rows.ErrNotExecuted) {
 		m.rejections = min(m.rejections+1, maxDelayDoublings)
 	} else {
 		m.rejections = 0
 	}
-	if m.renewDue {
+	if failed {
 		delay := m.renewalRetryDelay()
 		m.retryAt = m.o.Clock() + delay
 		m.o.Loop.After(delay, m.startCycle)
