Limits of open connections, one set for the gateway and for jobs

New package limits/inbound: a limiter for each listener counts the bytes and lines of a head before they are parsed, and the bytes of bodies as they are buffered. At a limit of connections or memory it closes the connection that takes the most among those whose request is not complete, one without a served request first, then the one that waits longest. A request that is being served goes on.

The entry process uses it for callers, administration and metrics. Before, its limit of connections let further callers wait until one of those that send nothing had been idle for a minute, and heads had no bound together. The reading of bodies and the defaults of the gateway moved to the package; its byte budget is as before. What is closed is counted and logged (4557). golang.org/x/net is not needed any more.

Evidence: TestStalledBodiesLeaveRoomForSmallRequests, TestLinesOfHeadsAreCounted, TestSilentConnectionsAreClosedFirst, TestRequestInProgressIsNotClosed, TestAnsweredRequestsReturnTheirMemory, TestBodyAboveTheLimitIsRefused.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -101,6 +101,7 @@
 	ValidityLost            Code = 4554
 	ValidityRegained        Code = 4555
 	KeyRefused              Code = 4556
+	ConnectionsLimited      Code = 4557
 
 	MachineListFailed      Code = 4560
 	MachineOrdered         Code = 4561
@@ -304,6 +305,7 @@
 	{ValidityLost, "validity-lost", LevelWarning, "The configuration was not confirmed in time; calls with a key are refused, public routes are served."},
 	{ValidityRegained, "validity-regained", LevelInfo, "The configuration is confirmed; calls with a key are served."},
 	{KeyRefused, "key-refused", LevelInfo, "A call had no key, or one that is not in the configuration; no success was reported."},
+	{ConnectionsLimited, "connections-limited", LevelWarning, "A connection was closed or refused because those of its listener reached a limit."},
 	{MachineListFailed, "machine-list-failed", LevelWarning, "The platform's list of machines cannot be read."},
 	{MachineOrdered, "machine-ordered", LevelInfo, "The platform carries out a move or the maintenance of a VM."},
 	{MachineOrderRefused, "machine-order-refused", LevelInfo, "The platform refused an order for a VM; the order had no effect."},
--- a/eventlog/metrics/metrics.go
+++ b/eventlog/metrics/metrics.go
@@ -49,11 +49,13 @@
 	store        *labelledCounter
 	peerMessages *labelledCounter
 	rejections   *labelledCounter
-	excessJobs   *labelledCounter
-	runs         runCounters
-	jobCalls     *latencyHistogram
-	workerOrders *latencyHistogram
-	storeCalls   *latencyHistogram
+	// closedConnections are the connections that were closed because of a limit.
+	closedConnections *labelledCounter
+	excessJobs        *labelledCounter
+	runs              runCounters
+	jobCalls          *latencyHistogram
+	workerOrders      *latencyHistogram
+	storeCalls        *latencyHistogram
 	// durationRatios are the prediction errors of learned durations.
 	durationRatios metric.Float64Histogram
 
@@ -131,14 +133,21 @@
 }
 
 func (m *Metrics) createLabelledCounters(meter metric.Meter) error {
-	var errs [4]error
+	var errs [5]error
 	m.claims, errs[0] = newLabelledCounter(meter, "claims", "Claims of idempotency keys by verdict.", "verdict")
 	m.store, errs[1] = newLabelledCounter(meter, "store.requests", "Requests to the table service by operation and result.", "operation", "result")
 	m.peerMessages, errs[2] = newLabelledCounter(meter, "peer.messages", "Messages between entry processes by kind and direction.", "kind", "direction")
 	m.rejections, errs[3] = newLabelledCounter(meter, "job.call.rejections", "Callers' calls about jobs that were not forwarded, or whose success was not reported, by reason.", "reason")
+	m.closedConnections, errs[4] = newLabelledCounter(meter, "connections.closed", "Connections that were closed or refused because of a limit, by listener and limit.", "listener", "limit")
 	return errors.Join(errs[:]...)
 }
 
+// CountClosedConnection counts a connection that was closed or refused because of a limit, for
+// example that of "callers" because of "memory".
+func (m *Metrics) CountClosedConnection(listener, limit string) {
+	m.closedConnections.add(listener, limit)
+}
+
 // CountClaim counts a claim of an idempotency key by its verdict.
 func (m *Metrics) CountClaim(verdict string) { m.claims.add(verdict, "") }
 
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -2,18 +2,10 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
-)
 
-const (
-	// maxInitialBodyBytes bounds the first allocation for a body. The buffer
-	// grows beyond it only as bytes arrive, so that a caller cannot occupy
-	// memory by declaring a long body.
-	maxInitialBodyBytes = 64 << 10
-	// unknownLengthBodyBytes is the first allocation for a body of unknown length.
-	unknownLengthBodyBytes = 4 << 10
+	"peridotcrank.dev/limits/inbound"
 )
 
 // bufferedBody is a request body in memory. Its capacity counts towards the byte
@@ -24,18 +16,12 @@
 	reserved int64
 }
 
-// grow doubles the capacity of the buffer, which starts at initial bytes and ends
-// at limit. It reports false when the byte budget does not allow the growth.
-func (b *bufferedBody) grow(initial, limit int64) bool {
-	size := min(max(2*int64(cap(b.bytes)), initial), limit)
-	added := size - b.reserved
-	if !b.budget.tryReserve(added) {
+// Reserve implements [inbound.Account].
+func (b *bufferedBody) Reserve(n int64) bool {
+	if !b.budget.tryReserve(n) {
 		return false
 	}
-	b.reserved = size
-	grown := make([]byte, len(b.bytes), size)
-	copy(grown, b.bytes)
-	b.bytes = grown
+	b.reserved += n
 	return true
 }
 
@@ -69,30 +55,20 @@
 
 // readIntoBuffer reads the body up to its end or the size limit of the service.
 func (c *call) readIntoBuffer() *refusal {
-	// Reads one byte more than the limit to detect a body that exceeds it.
-	initial, limit := int64(unknownLengthBodyBytes), c.route.MaxBodyBytes+1
-	if c.r.ContentLength > 0 {
-		limit = c.r.ContentLength
-		initial = min(limit, maxInitialBodyBytes)
-	}
-	b := &c.body
-	for int64(len(b.bytes)) < limit {
-		if len(b.bytes) == cap(b.bytes) && !b.grow(initial, limit) {
-			return shedRefusal("too many request bytes are buffered", 0)
-		}
-		n, err := c.r.Body.Read(b.bytes[len(b.bytes):cap(b.bytes)])
-		b.bytes = b.bytes[:len(b.bytes)+n]
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			return bodyReadRefusal(err)
+	body, err := inbound.ReadAll(c.r.Body, c.r.ContentLength, c.route.MaxBodyBytes, &c.body)
+	c.body.bytes = body
+	switch {
+	case err == nil:
+		if conn := inbound.FromContext(c.r.Context()); conn != nil {
+			conn.BeginServing()
 		}
+		return nil
+	case errors.Is(err, inbound.ErrNoRoom):
+		return shedRefusal("too many request bytes are buffered", 0)
+	case errors.Is(err, inbound.ErrBodyTooLong):
+		return notRunRefusal(http.StatusRequestEntityTooLarge, err.Error())
 	}
-	if int64(len(b.bytes)) > c.route.MaxBodyBytes {
-		return notRunRefusal(http.StatusRequestEntityTooLarge, "the request body is too long")
-	}
-	return nil
+	return bodyReadRefusal(err)
 }
 
 // bodyReadRefusal returns the refusal for a failed read of the request body.
--- a/gateway/framing/conn.go
+++ b/gateway/framing/conn.go
@@ -46,6 +46,9 @@
 	handlerActive atomic.Bool
 }
 
+// NetConn returns the connection whose bytes are checked.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read returns the bytes before the first invalid line, and then the framing
 // error.
 func (c *conn) Read(p []byte) (int, error) {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -8,6 +8,7 @@
 	"peridotcrank.dev/claims"
 	"peridotcrank.dev/exchange"
 	"peridotcrank.dev/fleet"
+	"peridotcrank.dev/limits/inbound"
 	"peridotcrank.dev/limits/retry"
 	"peridotcrank.dev/routing"
 )
@@ -21,7 +22,7 @@
 	// four backend servers of a pool are ejected after three refusals each.
 	DefaultMaxRefusals      = 16
 	DefaultMaxBufferedBytes = 64 << 20
-	DefaultSlowSenderLimit  = 5 * time.Second
+	DefaultSlowSenderLimit  = inbound.DefaultBodyTimeout
 	DefaultSlowReaderLimit  = 10 * time.Second
 
 	DefaultTimeout      = 2 * time.Second
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -11,14 +11,15 @@
 	"time"
 
 	"peridotcrank.dev/gateway/framing"
+	"peridotcrank.dev/limits/inbound"
 )
 
 // Defaults of ServerOptions.
 const (
-	DefaultReadHeaderTimeout = 5 * time.Second
-	DefaultIdleTimeout       = 60 * time.Second
-	DefaultWriteTimeout      = 60 * time.Second
-	DefaultMaxHeaderBytes    = 64 << 10
+	DefaultReadHeaderTimeout = inbound.DefaultHeaderTimeout
+	DefaultIdleTimeout       = inbound.DefaultIdleTimeout
+	DefaultWriteTimeout      = inbound.DefaultWriteTimeout
+	DefaultMaxHeaderBytes    = inbound.DefaultHeaderBytes
 	DefaultListenerOpen      = 5 * time.Second
 )
 
@@ -40,6 +41,8 @@
 	// BeforeDrain is called after ListenerOpen, directly before the listener is
 	// closed, for example to hand claims over. Default: no call.
 	BeforeDrain func(context.Context) error
+	// Limiter bounds the connections of the listener that is passed to Serve. Default: no bound.
+	Limiter *inbound.Limiter
 	// ErrorLog receives the messages of net/http. Default: messages are discarded.
 	ErrorLog *log.Logger
 }
@@ -96,6 +99,11 @@
 		// The gateway handles "OPTIONS *", so that the response has the outcome header.
 		DisableGeneralOptionsHandler: true,
 	}
+	if o.Limiter != nil {
+		o.Limiter.Configure(&s.http, inbound.HTTPOptions{
+			HeaderBytes: o.MaxHeaderBytes, HeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout, WriteTimeout: o.WriteTimeout,
+		})
+	}
 	return s, nil
 }
 
--- /dev/null
+++ b/limits/inbound/http.go
@@ -0,0 +1,87 @@
+package inbound
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// HTTPOptions bound the requests of an HTTP server. Zero values select the defaults.
+type HTTPOptions struct {
+	HeaderBytes   int           // Request header. Default 64 KiB.
+	HeaderTimeout time.Duration // Time in which a request header must arrive. Default 5 s.
+	IdleTimeout   time.Duration // Idle time of a connection. Default 60 s.
+	WriteTimeout  time.Duration // Time from a request header to the end of the response. Default 60 s.
+}
+
+// Configure sets the limits of a server whose listener is bounded by the limiter, and wraps its handler
+// and hooks.
+func (l *Limiter) Configure(s *http.Server, o HTTPOptions) {
+	s.MaxHeaderBytes = cmp.Or(o.HeaderBytes, DefaultHeaderBytes)
+	s.ReadHeaderTimeout = cmp.Or(o.HeaderTimeout, DefaultHeaderTimeout)
+	s.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	s.WriteTimeout = cmp.Or(o.WriteTimeout, DefaultWriteTimeout)
+	s.Handler = handler(s.Handler)
+	s.ConnContext = connContext(s.ConnContext)
+	s.ConnState = connState(s.ConnState)
+}
+
+type contextKey struct{}
+
+// FromContext returns the connection of a request, or nil if it is not bounded.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(contextKey{}).(*Conn)
+	return c
+}
+
+// boundedConn returns the bounded connection that a connection is or wraps, or nil.
+func boundedConn(nc net.Conn) *Conn {
+	for {
+		if c, ok := nc.(*Conn); ok {
+			return c
+		}
+		wrapper, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		nc = wrapper.NetConn()
+	}
+}
+
+func connContext(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
+	return func(ctx context.Context, nc net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, nc)
+		}
+		if c := boundedConn(nc); c != nil {
+			ctx = context.WithValue(ctx, contextKey{}, c)
+		}
+		return ctx
+	}
+}
+
+func connState(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+	return func(nc net.Conn, state http.ConnState) {
+		if c := boundedConn(nc); c != nil && (state == http.StateNew || state == http.StateIdle) {
+			c.endRequest()
+		}
+		if next != nil {
+			next(nc, state)
+		}
+	}
+}
+
+// handler ends the head of each request. A request without a body is received in full then.
+func handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := FromContext(r.Context()); c != nil {
+			c.head.end()
+			if r.Body == nil || r.Body == http.NoBody {
+				c.BeginServing()
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -4,12 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
-	"net/netip"
-	"time"
-
-	"golang.org/x/net/netutil"
 
 	"peridotcrank.dev/admin"
 	"peridotcrank.dev/claims"
@@ -23,6 +18,7 @@
 	"peridotcrank.dev/exchange"
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/gateway"
+	"peridotcrank.dev/limits/inbound"
 	"peridotcrank.dev/limits/retry"
 	"peridotcrank.dev/membership/monotime"
 	"peridotcrank.dev/peer"
@@ -48,6 +44,7 @@
 	gateway    *gateway.Gateway
 	callers    *gateway.Server
 	admin      *http.Server
+	limiters   limiters
 	summaries  *summaries
 	budgets    *budgets
 	sessions   sessions
@@ -69,6 +66,7 @@
 		build func() error
 	}{
 		{"log", p.buildLog},
+		{"limits of connections", p.buildLimiters},
 		{"store client", p.buildStore},
 		{"peers", p.buildPeers},
 		{"traffic", p.buildTraffic},
@@ -190,7 +188,7 @@
 	}
 	p.callers, err = gateway.NewServer(p.gateway, gateway.ServerOptions{
 		ReadHeaderTimeout: p.settings.Timeouts.ReadHeader, IdleTimeout: p.settings.Timeouts.Idle,
-		MaxHeaderBytes: int(p.settings.Limits.HeaderBytes), ListenerOpen: p.settings.Timeouts.Drain,
+		MaxHeaderBytes: int(p.settings.Limits.HeaderBytes), ListenerOpen: p.settings.Timeouts.Drain, Limiter: p.limiters.callers,
 	})
 	return err
 }
@@ -212,6 +210,10 @@
 		return err
 	}
 	p.admin = admin.NewHTTPServer(server)
+	p.limiters.admin.Configure(p.admin, inbound.HTTPOptions{
+		HeaderBytes: p.admin.MaxHeaderBytes, HeaderTimeout: p.admin.ReadHeaderTimeout,
+		IdleTimeout: p.admin.IdleTimeout, WriteTimeout: p.admin.WriteTimeout,
+	})
 	return nil
 }
 
@@ -247,31 +249,6 @@
 	return errors.Join(err, p.node.Close())
 }
 
-type listeners struct {
-	callers, admin, metrics net.Listener
-}
-
-func (p *Process) listen() (l listeners, err error) {
-	for _, item := range []struct {
-		target      *net.Listener
-		address     netip.AddrPort
-		failureCode eventlog.Code
-	}{
-		{&l.callers, p.settings.Listen.Callers, eventlog.GatewayListenFault},
-		{&l.admin, p.settings.Listen.Admin, eventlog.AdminListenFault},
-		{&l.metrics, p.settings.Listen.Metrics, eventlog.MetricsListenFault},
-	} {
-		if *item.target, err = net.Listen("tcp", item.address.String()); err != nil {
-			p.log.Record(item.failureCode, eventlog.Fields{"error": err.Error()})
-			return l, fmt.Errorf("listen: %w", err)
-		}
-	}
-	l.callers = netutil.LimitListener(l.callers, p.settings.Limits.Connections)
-	l.callers = withTLS(l.callers, p.settings.TLS.Callers)
-	l.admin = withTLS(l.admin, p.settings.TLS.Admin)
-	return l, nil
-}
-
 // stop drains the requests of callers, hands over claims and slots, and leaves
 // the member view.
 func (p *Process) stop() error {
@@ -315,8 +292,3 @@
 	}
 	return fmt.Errorf("%s: %w", step, err)
 }
-
-func (p *Process) serveMetrics(l net.Listener) error {
-	server := &http.Server{Handler: p.metrics.Handler(), ReadHeaderTimeout: 5 * time.Second}
-	return server.Serve(l)
-}
