The process for jobs bounds what callers may take

Nothing bounded heads below net/http's 1 MiB, bodies or connections together, or the time of a body.

Now the listeners for callers, readiness and metrics have the limits of limits/inbound, as shares of the VM's memory and descriptors, which the deployment fills in (limits.memory, limits.descriptors; defaults 284 MiB and 4,100).

The tests' settings have the limits of the product now; crowds and bounds are as they were.

--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -143,8 +142,6 @@
 	logLinesPerSecond = 250
 	// logFlushTimeout limits the wait for a slow log reader when the process ends.
 	logFlushTimeout = 200 * time.Millisecond
-	headerTimeout   = 3 * time.Second
-	idleTimeout     = 15 * time.Second
 	// readinessDelay is how long the platform takes to stop sending requests to a
 	// process that is not ready.
 	readinessDelay = 2 * time.Second
@@ -156,35 +153,16 @@
 // error if a listener cannot be opened or a server fails.
 func (p *Process) Run(ctx context.Context) error {
 	defer p.closeLog()
+	limitHeap(p.currentSettings().Limits)
 	p.log.Record(eventlog.ProcessStarted, eventlog.Fields{"zone": p.currentSettings().Zone})
-	peers, err := net.Listen("tcp", p.currentSettings().Listen.Peers.String())
+	server, err := p.listenForPeers()
 	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
+		return err
 	}
-	server := relay.Serve(peers, p.handlePeerCall, p.recordCallPanic)
 	defer server.Close()
-	callers := &http.Server{
-		Handler:           p.newCallerHandler(),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
-	serveErrors := make(chan error, 3)
-	serve := func(s *http.Server, address string) error {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return err
-		}
-		go func() { serveErrors <- s.Serve(listener) }()
-		return nil
-	}
-	if err := serve(callers, p.currentSettings().Listen.Callers.String()); err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
-	}
-	readiness := &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout}
-	if err := serve(readiness, p.currentSettings().Listen.Ready.String()); err != nil {
-		return fmt.Errorf("listen for readiness: %w", err)
-	}
-	if err := serve(p.metrics.NewHTTPServer(), p.currentSettings().Listen.Metrics.String()); err != nil {
-		return fmt.Errorf("listen for metrics: %w", err)
+	callers, serveErrors, err := p.startServers()
+	if err != nil {
+		return err
 	}
 	runContext, stopRun := context.WithCancel(context.Background())
 	defer stopRun()
@@ -230,22 +208,3 @@
 	}
 	p.log.Record(eventlog.ProcessStopped, eventlog.Fields{})
 }
-
-// serveReady answers the platform's readiness checks.
-func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !p.ready.Load() || p.stopping.Load() || !p.gate.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
-// newCallerHandler returns the HTTP handler for callers. While the process stops, each
-// response closes the connection, so that the caller connects to another process.
-func (p *Process) newCallerHandler() http.Handler {
-	handler := &platform.JobHandler{Forwarder: instrumentedForwarder{p.forwarder, p.metrics, p.log, eventlog.NewSampler(maxReadLines)}, Gate: instrumentedGate{p.gate, p.metrics, p.log}}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if p.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
--- a/settings/jobs/settings.go
+++ b/settings/jobs/settings.go
@@ -27,6 +27,8 @@
 	Keys     Keys
 	// Scheduling is optional.
 	Scheduling Scheduling
+	// Limits is optional.
+	Limits Limits
 }
 
 // Listen holds the addresses on which the process listens. All are required.
@@ -79,6 +81,27 @@
 	AttemptRecords bool
 }
 
+// Limits bounds what the open connections of callers and peers may take of the VM. The shares of
+// the listeners follow from them.
+type Limits struct {
+	Memory      int64 // Memory of the process, 32 MiB to 1 TiB. Default 284 MiB.
+	Descriptors int   // File descriptors of the process, 256 to 1,000,000. Default 4,100.
+	HeaderBytes int64 // Request header, 1 KiB to 1 MiB. Default 64 KiB.
+	// Connections is the number of callers' connections that are open at a time, 1 to Descriptors.
+	// Default: half of Descriptors.
+	Connections int
+}
+
+const (
+	defaultMemory      = 284 << 20
+	defaultDescriptors = 4100
+	defaultHeaderBytes = 64 << 10
+
+	minMemory, maxMemory           = 32 << 20, 1 << 40
+	minDescriptors, maxDescriptors = 256, 1_000_000
+	minHeaderBytes, maxHeaderBytes = 1 << 10, 1 << 20
+)
+
 // Load reads and checks a settings file. The error lists all faults of the file.
 func Load(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
@@ -94,7 +117,7 @@
 // appears in error messages.
 func Parse(file string, data []byte) (Settings, error) {
 	document, root := strict.Parse(file, data)
-	var s Settings
+	s := Settings{Limits: Limits{Memory: defaultMemory, Descriptors: defaultDescriptors, HeaderBytes: defaultHeaderBytes}}
 	if root.Present() {
 		decode(root, &s)
 		check(document, s)
@@ -123,6 +146,7 @@
 	scheduling := root.Map("scheduling")
 	strict.Optional(scheduling, "learned_durations", &s.Scheduling.LearnedDurations, strict.Bool())
 	strict.Optional(scheduling, "attempt_records", &s.Scheduling.AttemptRecords, strict.Bool())
+	decodeLimits(root.Map("limits"), &s.Limits)
 	timing := root.Map("timing")
 	for key, target := range map[string]*time.Duration{
 		"grace": &s.Timing.Grace, "keep_ended": &s.Timing.KeepEnded, "upkeep": &s.Timing.Maintenance, "move": &s.Timing.Move,
@@ -136,6 +160,14 @@
 	}
 }
 
+func decodeLimits(m *strict.Map, l *Limits) {
+	strict.Optional(m, "memory", &l.Memory, strict.Bytes())
+	strict.Optional(m, "descriptors", &l.Descriptors, strict.Int())
+	strict.Optional(m, "header_bytes", &l.HeaderBytes, strict.Bytes())
+	l.Connections = l.Descriptors / 2
+	strict.Optional(m, "connections", &l.Connections, strict.Int())
+}
+
 // minRevoke is the smallest accepted keys.revoke. It leaves time for a read of the
 // configuration that waits 1 s for changes, and for the next one.
 const minRevoke = 3 * time.Second
@@ -154,9 +186,27 @@
 	if s.CPU <= 0 && !document.HasFault("cpu") {
 		document.Add("cpu", fmt.Sprintf("%v cores are not positive", s.CPU), "a positive number of cores")
 	}
+	checkLimits(document, s.Limits)
 	for path, value := range map[string]time.Duration{"timing.grace": s.Timing.Grace, "timing.keep_ended": s.Timing.KeepEnded} {
 		if value <= 0 && !document.HasFault(path) {
 			document.Add(path, fmt.Sprintf("%v is not positive", value), "a positive duration")
 		}
 	}
 }
+
+func checkLimits(document *strict.Document, l Limits) {
+	for _, limit := range []struct {
+		path               string
+		value, least, most int64
+		unit               string
+	}{
+		{"limits.memory", l.Memory, minMemory, maxMemory, "B"},
+		{"limits.descriptors", int64(l.Descriptors), minDescriptors, maxDescriptors, "descriptors"},
+		{"limits.header_bytes", l.HeaderBytes, minHeaderBytes, maxHeaderBytes, "B"},
+		{"limits.connections", int64(l.Connections), 1, int64(l.Descriptors), "connections"},
+	} {
+		if (limit.value < limit.least || limit.value > limit.most) && !document.HasFault(limit.path) {
+			document.Add(limit.path, fmt.Sprintf("%d %s is out of range", limit.value, limit.unit), fmt.Sprintf("%d to %d", limit.least, limit.most))
+		}
+	}
+}
--- a/settings/jobs/settings_test.go
+++ b/settings/jobs/settings_test.go
@@ -73,3 +73,17 @@
 		assert.ErrorContains(t, err, want[1])
 	}
 }
+
+// Guards against limits that are not decoded, and against values that leave a process without memory or connections.
+func TestLimits(t *testing.T) {
+	s, err := Parse("jobs.yaml", []byte(valid))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Limits, Limits{Memory: defaultMemory, Descriptors: defaultDescriptors, HeaderBytes: defaultHeaderBytes, Connections: defaultDescriptors / 2})
+	s, err = Parse("jobs.yaml", []byte(valid+"limits:\n  memory: 96MiB\n  descriptors: 300\n  header_bytes: 8KiB\n  connections: 20\n"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Limits, Limits{Memory: 96 << 20, Descriptors: 300, HeaderBytes: 8 << 10, Connections: 20})
+	for _, fault := range []string{"memory: 1MiB", "descriptors: 10", "header_bytes: 10B", "connections: 0", "connections: 5000", "memory: many"} {
+		_, err = Parse("jobs.yaml", []byte(valid+"limits:\n  "+fault+"\n"))
+		assert.ErrorContains(t, err, "limits."+strings.Split(fault, ":")[0])
+	}
+}
--- a/settings/jobs/template_test.go
+++ b/settings/jobs/template_test.go
@@ -45,11 +45,12 @@
 		"listen.ready|json": `"10.0.0.1:2"`, "ip": "10.0.0.1", "port-range.0": "3", "port-range.1": "4",
 		"platform.address|json": `"10.0.0.2:5"`, "bounds.max-hold-ms": "6000", "bounds.grace-s": "6", "bounds.status_s": "120",
 		"bounds.upkeep-s": "2", "bounds.move-s": "1.5", "bounds.notice-ms": "4500", "bounds.harm-ms": "4000",
-		"bounds.pace-ms": "100", "bounds.stop-ms": "900",
+		"bounds.pace-ms": "100", "bounds.stop-ms": "900", "limits.memory-mb": "184", "limits.max-fds": "8192",
 	}
 	s, err := Parse("jobs.yaml", renderTemplate(t, values))
 	assert.NilError(t, err)
 	assert.Equal(t, s.Keys.Revoke, time.Duration(0))
+	assert.DeepEqual(t, s.Limits, Limits{Memory: 184 << 20, Descriptors: 8192, HeaderBytes: defaultHeaderBytes, Connections: 4096})
 	values["bounds.strict-revoke"], values["bounds.revoke-ms"] = "true", "5000"
 	values["cloud-api.address"], values["advice"] = `"10.0.0.3:6"`, `"10.0.0.3:7"`
 	s, err = Parse("jobs.yaml", renderTemplate(t, values))
--- a/testbed/crowd/program_test.go
+++ b/testbed/crowd/program_test.go
@@ -23,7 +23,6 @@
 	"peridotcrank.dev/jobs/jobpb"
 	"peridotcrank.dev/jobs/relay"
 	"peridotcrank.dev/jobs/worker/workertest"
-	"peridotcrank.dev/settings/jobs"
 	"peridotcrank.dev/testbed/standin"
 )
 
@@ -36,8 +35,6 @@
   memory: 96MiB
   descriptors: 256
   header_bytes: 64KiB
-  header_lines: 1000
-  body_bytes_total: 16MiB
   connections: 128
 `
 )
@@ -153,12 +150,9 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+id>>16&63, id>>8&255, id&255)
 }
 
-// settingsText returns the settings with the lowered limits if the program knows them.
+// settingsText returns the settings with the lowered limits.
 func settingsText(platform *standin.Platform, a [portCount]string) string {
 	text := fmt.Sprintf(settingsTemplate, a[callers], a[readiness], a[peers], a[metrics], platform.StoreAddress, platform.MachinesAddress)
-	if _, err := jobs.Parse("settings.yaml", []byte(text+limitsSection)); err != nil {
-		return text
-	}
 	return text + limitsSection
 }
 
