Sessions of peers are bounded

The port for other processes had no bound on sessions, streams, unfinished messages, what a message takes once decoded, or pings that are not answered; and the first failure to accept a connection, for want of a descriptor, ended it for good.

Now sessions have a limiter; a stream and a message reserve memory before it is allocated, the decoded form by the fields that the message has. Accepting goes on after a failure.

--- a/jobs/relay/client.go
+++ b/jobs/relay/client.go
@@ -108,7 +108,7 @@
 		return nil, fmt.Errorf("send: %w", err)
 	}
 	reply := &jobpb.Reply{}
-	if err := readMessage(stream, reply); err != nil {
+	if _, err := readMessage(stream, reply, unlimited{}); err != nil {
 		return nil, fmt.Errorf("receive: %w", err)
 	}
 	return reply, nil
--- a/jobs/relay/frame.go
+++ b/jobs/relay/frame.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
-	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 
 	"google.golang.org/protobuf/proto"
+
+	"peridotcrank.dev/limits/inbound"
 )
 
 // maxMessageBytes limits the size of a message; a job takes at most about 300 KB.
@@ -25,23 +27,48 @@
 	return err
 }
 
-func readMessage(r io.Reader, message proto.Message) error {
+// readMessage reads a message. It returns the number of bytes that it has reserved.
+func readMessage(r io.Reader, message proto.Message, account inbound.Account) (reserved int64, err error) {
 	var length [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
-		return err
-	}
-	n := binary.BigEndian.Uint32(length[:])
-	if n > maxMessageBytes {
-		return fmt.Errorf("message has %d bytes, more than the limit of %d", n, maxMessageBytes)
+		return 0, err
 	}
+	n := int64(binary.BigEndian.Uint32(length[:]))
+	counted := &countedAccount{account: account}
 	// The buffer grows as bytes arrive. Allocating the announced length would let a peer
 	// exhaust memory without sending a body.
-	var body bytes.Buffer
-	if _, err := io.CopyN(&body, r, int64(n)); err != nil {
-		return err
+	body, err := inbound.ReadAll(io.LimitReader(r, n), n, maxMessageBytes, counted)
+	switch {
+	case errors.Is(err, inbound.ErrBodyTooLong):
+		return counted.reserved, fmt.Errorf("message has %d bytes, more than the limit of %d", n, maxMessageBytes)
+	case err != nil:
+		return counted.reserved, err
+	case int64(len(body)) < n:
+		return counted.reserved, io.ErrUnexpectedEOF
+	}
+	if !counted.Reserve(decodedCost(message.ProtoReflect().Descriptor(), body)) {
+		return counted.reserved, inbound.ErrNoRoom
 	}
-	if err := proto.Unmarshal(body.Bytes(), message); err != nil {
-		return fmt.Errorf("decode message: %w", err)
+	if err := proto.Unmarshal(body, message); err != nil {
+		return counted.reserved, fmt.Errorf("decode message: %w", err)
+	}
+	return counted.reserved, nil
+}
+
+// bufferFactor is the memory for a byte of a message while its buffer grows by doubling.
+const bufferFactor = 2
+
+// countedAccount counts what a message reserves.
+type countedAccount struct {
+	account  inbound.Account
+	reserved int64
+}
+
+// Reserve implements [inbound.Account].
+func (a *countedAccount) Reserve(n int64) bool {
+	if !a.account.Reserve(bufferFactor * n) {
+		return false
 	}
-	return nil
+	a.reserved += bufferFactor * n
+	return true
 }
--- a/jobs/relay/relay_test.go
+++ b/jobs/relay/relay_test.go
@@ -147,7 +147,8 @@
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	for range 10 {
-		assert.Assert(t, readMessage(bytes.NewReader(length[:]), &jobpb.Reply{}) != nil)
+		_, err := readMessage(bytes.NewReader(length[:]), &jobpb.Reply{}, unlimited{})
+		assert.Assert(t, err != nil)
 	}
 	runtime.ReadMemStats(&after)
 	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < maxMessageBytes, "%d bytes for messages without body", after.TotalAlloc-before.TotalAlloc)
--- a/jobs/relay/server.go
+++ b/jobs/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/hashicorp/yamux"
 
 	"peridotcrank.dev/jobs/jobpb"
+	"peridotcrank.dev/limits/inbound"
 )
 
 // Handler executes a call and returns the reply. ctx ends at the timeout of the request.
@@ -20,8 +22,15 @@
 	keepAliveInterval = 2 * time.Second
 	// writeTimeout limits a write to a peer that does not read.
 	writeTimeout = 2 * time.Second
-	// defaultTimeout limits a call whose request has no timeout.
+	// defaultTimeout limits a call whose request has no timeout, or one above maxTimeout.
 	defaultTimeout = 3 * time.Second
+	maxTimeout     = 5 * time.Minute
+	// closeTimeout is how long a peer may take to close a stream after the reply.
+	closeTimeout = 10 * time.Second
+	// acceptRetryDelay is the time until connections are accepted again after a failure.
+	acceptRetryDelay = 50 * time.Millisecond
+	// streamCost is the memory of a stream: its goroutines and its state.
+	streamCost = 16 << 10
 )
 
 func sessionConfig() *yamux.Config {
@@ -65,10 +74,14 @@
 func (s *Server) acceptSessions() {
 	for {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		session, err := yamux.Server(conn, sessionConfig())
+		if err != nil {
+			time.Sleep(acceptRetryDelay) // For example, there are no descriptors left.
+			continue
+		}
+		session, err := yamux.Server(&pingLimit{Conn: conn}, sessionConfig())
 		if err != nil {
 			conn.Close()
 			continue
@@ -77,7 +90,7 @@
 			session.Close()
 			return
 		}
-		go s.serveSession(session)
+		go s.serveSession(session, accountOf(conn))
 	}
 }
 
@@ -91,7 +104,7 @@
 	return true
 }
 
-func (s *Server) serveSession(session *yamux.Session) {
+func (s *Server) serveSession(session *yamux.Session, account account) {
 	defer func() {
 		session.Close()
 		s.mu.Lock()
@@ -103,11 +116,17 @@
 		if err != nil {
 			return
 		}
-		go s.handleStream(stream)
+		if !account.Reserve(streamCost) {
+			return // The peer connects again.
+		}
+		go func() {
+			defer account.Release(streamCost)
+			s.handleStream(session, stream, account)
+		}()
 	}
 }
 
-func (s *Server) handleStream(stream *yamux.Stream) {
+func (s *Server) handleStream(session *yamux.Session, stream *yamux.Stream, account account) {
 	defer stream.Close()
 	defer func() {
 		if reason := recover(); reason != nil {
@@ -116,13 +135,21 @@
 	}()
 	stream.SetReadDeadline(time.Now().Add(defaultTimeout))
 	request := &jobpb.Request{}
-	if readMessage(stream, request) != nil {
+	size, err := readMessage(stream, request, account)
+	defer func() { account.Release(size) }()
+	if err != nil {
+		if errors.Is(err, inbound.ErrNoRoom) {
+			session.Close()
+		}
 		return
 	}
+	account.MarkServed()
 	timeout := time.Duration(request.TimeoutMs) * time.Millisecond
-	if timeout <= 0 {
+	if timeout <= 0 || timeout > maxTimeout {
 		timeout = defaultTimeout
 	}
+	end := watchEnd(session, stream, timeout)
+	defer func() { stream.Close(); <-end }()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	reply := s.handler(ctx, request)
@@ -130,3 +157,19 @@
 	// If the write fails, the peer sees the end of the stream instead of the reply.
 	_ = writeMessage(stream, reply)
 }
+
+// watchEnd waits until the peer closes a stream whose request was read, and closes the channel then. It closes the
+// session if the peer sends more, or does not close the stream after the reply: nobody reads that, and it
+// would stay in memory.
+func watchEnd(session *yamux.Session, stream *yamux.Stream, timeout time.Duration) <-chan struct{} {
+	end := make(chan struct{})
+	stream.SetReadDeadline(time.Now().Add(timeout + writeTimeout + closeTimeout))
+	go func() {
+		defer close(end)
+		var excess [1]byte
+		if n, err := stream.Read(excess[:]); n > 0 || errors.Is(err, yamux.ErrTimeout) {
+			session.Close()
+		}
+	}()
+	return end
+}
