--- a/jobs/cluster/heldshard_test.go
+++ b/jobs/cluster/heldshard_test.go
@@ -5,26 +5,15 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"peridotcrank.dev/jobs/rows/rowstest"
 )
 
 // Guards against calls that are forwarded to the former owner: a read that was taken before a takeover arrives after it.
 func TestOwnTakeoverStaysInDirectoryBesideStaleRead(t *testing.T) {
 	withGroup(t, 2, func(g *group) {
-		g.checkSingleOwnerFor(4 * time.Second)
-		former := g.activeOwner("a")
-		former.store.setFault(rowstest.RequestLost)
-		next := g.members[0]
-		if next == former {
-			next = g.members[1]
-		}
-		next.store.readReplyTime.Store(int64(80 * time.Millisecond))
+		next := g.loseOwnerBesideStaleReads()
 		for end := time.Now().Add(2 * takeoverLimit); time.Now().Before(end); time.Sleep(time.Millisecond) {
 			g.runOnLoop(func() {
-				if next.takeoverPending["a"] {
-					next.Refresh()
-				}
+				next.refreshBesideTakeover()
 				assert.Assert(t, !next.owns["a"] || next.directory["a"].Self, "the directory names %s", next.directory["a"].Member)
 			})
 		}
--- a/jobs/shard/traceowners_test.go
+++ b/jobs/shard/traceowners_test.go
@@ -11,23 +11,9 @@
 	"peridotcrank.dev/jobs/worker"
 )
 
-// startAgain starts a second owner object under the ownership of another one.
+// startAgain starts a second owner object under the ownership of another one, and waits until it is active.
 func (r *eventRig) startAgain(first *owner) *owner {
-	o := &owner{rig: r.rig, loop: first.loop}
-	opts := first.opts
-	o.ownsShard.Store(true)
-	opts.Acquisition++
-	opts.OwnsShard, opts.OnLost = o.ownsShard.Load, func() { o.lost.Store(true) }
-	s, err := New(opts)
-	assert.NilError(r.t, err)
-	o.Shard = s
-	r.owners = append(r.owners, o)
-	o.callOnLoop(func() {
-		s.SetQueues(r.queues)
-		s.idHomes[s.callersAddress(testQueue)] = testPool
-		s.SetWorkers(r.workerInfos)
-		s.Start()
-	})
+	o := r.startObject(first)
 	time.Sleep(time.Second)
 	return o
 }
--- a/jobs/shard/twoobjects_test.go
+++ b/jobs/shard/twoobjects_test.go
@@ -16,6 +16,7 @@
 	o := &owner{rig: r, loop: first.loop}
 	o.ownsShard.Store(true)
 	opts := first.opts
+	opts.Acquisition++
 	opts.OwnsShard, opts.OnLost, opts.Recorder = o.ownsShard.Load, func() { o.lost.Store(true) }, r.recorder
 	s, err := New(opts)
 	assert.NilError(r.t, err)
