--- a/limits/inbound/http.go
+++ b/limits/inbound/http.go
@@ -64,8 +64,13 @@
 
 func connState(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
 	return func(nc net.Conn, state http.ConnState) {
-		if c := boundedConn(nc); c != nil && (state == http.StateNew || state == http.StateIdle) {
-			c.endRequest()
+		if c := boundedConn(nc); c != nil {
+			switch state {
+			case http.StateNew:
+				c.head.begin()
+			case http.StateIdle:
+				c.endRequest()
+			}
 		}
 		if next != nil {
 			next(nc, state)
--- a/limits/inbound/limiter.go
+++ b/limits/inbound/limiter.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
@@ -10,8 +11,21 @@
 // ErrNoRoom reports that a limit leaves no room for a connection or a request.
 var ErrNoRoom = errors.New("no room within the limits of open connections")
 
-// connectionCost is the memory of an open connection: its goroutine, its buffers and its state.
-const connectionCost = 24 << 10
+const (
+	// connectionCost is the memory of an open connection: its goroutine, its buffers and its state.
+	connectionCost = 24 << 10
+	// handshakeCost is the memory of a TLS handshake, of which a message is buffered until it is
+	// complete. It is returned with the first request.
+	handshakeCost = 64 << 10
+)
+
+// admissionCost returns what a new connection takes.
+func admissionCost(nc net.Conn) int64 {
+	if _, ok := nc.(*tls.Conn); ok {
+		return connectionCost + handshakeCost
+	}
+	return connectionCost
+}
 
 // MemoryFor returns the memory of a number of open connections and of the requests on them.
 func MemoryFor(connections int, requests int64) int64 {
@@ -66,11 +80,11 @@
 	c := &Conn{Conn: nc, limiter: l, waitingSince: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.options.Connections && !l.closeOne(c, connectionCost, TooManyConnections) {
+	if len(l.conns) >= l.options.Connections && !l.closeOne(c, 0, TooManyConnections) {
 		l.options.Closed(TooManyConnections)
 		return nil
 	}
-	if !l.reserve(c, connectionCost) {
+	if !l.reserve(c, admissionCost(nc)) {
 		return nil
 	}
 	l.conns[c] = struct{}{}
@@ -91,12 +105,13 @@
 	return true
 }
 
-// closeOne closes the connection that takes the most, if that is at least as much as the requester
-// needs. It reports false if there is none. The caller holds the lock.
+// closeOne closes a connection that takes at least as much as the requester needs, for a reason. It
+// reports false if there is none. The caller holds the lock.
 func (l *Limiter) closeOne(requester *Conn, needed int64, reason Reason) bool {
 	var chosen *Conn
+	now := time.Now()
 	for c := range l.conns {
-		if c != requester && !c.serving && c.reserved >= needed && (chosen == nil || c.isClosedBefore(chosen)) {
+		if c != requester && c.reserved >= needed && c.mayBeClosed(now) && (chosen == nil || c.compare(chosen, reason) < 0) {
 			chosen = c
 		}
 	}
