--- a/gateway/server.go
+++ b/gateway/server.go
@@ -100,9 +100,7 @@
 		DisableGeneralOptionsHandler: true,
 	}
 	if o.Limiter != nil {
-		o.Limiter.Configure(&s.http, inbound.HTTPOptions{
-			HeaderBytes: o.MaxHeaderBytes, HeaderTimeout: o.ReadHeaderTimeout, IdleTimeout: o.IdleTimeout, WriteTimeout: o.WriteTimeout,
-		})
+		o.Limiter.Configure(&s.http)
 	}
 	return s, nil
 }
--- a/jobs/relay/server.go
+++ b/jobs/relay/server.go
@@ -21,7 +21,7 @@
 	keepAliveInterval = 2 * time.Second
 	// writeTimeout limits a write to a peer that does not read.
 	writeTimeout = 2 * time.Second
-	// defaultTimeout limits a call whose request has no timeout, or one above maxTimeout.
+	// defaultTimeout limits a call whose request has no timeout, maxTimeout all others.
 	defaultTimeout = 3 * time.Second
 	maxTimeout     = 5 * time.Minute
 	// closeTimeout is how long a peer may take to close a stream after the reply.
@@ -145,9 +145,10 @@
 	}
 	account.MarkServed()
 	timeout := time.Duration(request.TimeoutMs) * time.Millisecond
-	if timeout <= 0 || timeout > maxTimeout {
+	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
+	timeout = min(timeout, maxTimeout)
 	end := watchEnd(session, stream, timeout)
 	defer func() { stream.Close(); <-end }()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/limits/inbound/handshake_test.go
+++ b/limits/inbound/handshake_test.go
@@ -18,7 +18,7 @@
 	assert.NilError(t, err)
 	config := &tls.Config{GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return nil, nil }}
 	server := &http.Server{Handler: http.NotFoundHandler()}
-	limiter.Configure(server, HTTPOptions{})
+	limiter.Configure(server)
 	go server.Serve(limiter.Listen(tls.NewListener(inner, config)))
 	t.Cleanup(func() { server.Close() })
 	s := &testServer{t: t, limiter: limiter, address: inner.Addr().String()}
--- a/limits/inbound/http.go
+++ b/limits/inbound/http.go
@@ -5,24 +5,15 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 )
 
-// HTTPOptions bound the requests of an HTTP server. Zero values select the defaults.
-type HTTPOptions struct {
-	HeaderBytes   int           // Request header. Default 64 KiB.
-	HeaderTimeout time.Duration // Time in which a request header must arrive. Default 5 s.
-	IdleTimeout   time.Duration // Idle time of a connection. Default 60 s.
-	WriteTimeout  time.Duration // Time from a request header to the end of the response. Default 60 s.
-}
-
-// Configure sets the limits of a server whose listener is bounded by the limiter, and wraps its handler
-// and hooks.
-func (l *Limiter) Configure(s *http.Server, o HTTPOptions) {
-	s.MaxHeaderBytes = cmp.Or(o.HeaderBytes, DefaultHeaderBytes)
-	s.ReadHeaderTimeout = cmp.Or(o.HeaderTimeout, DefaultHeaderTimeout)
-	s.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
-	s.WriteTimeout = cmp.Or(o.WriteTimeout, DefaultWriteTimeout)
+// Configure wraps the handler and the hooks of a server whose listener is bounded by the limiter. Limits that
+// the server does not have are set to the defaults.
+func (l *Limiter) Configure(s *http.Server) {
+	s.MaxHeaderBytes = cmp.Or(s.MaxHeaderBytes, DefaultHeaderBytes)
+	s.ReadHeaderTimeout = cmp.Or(s.ReadHeaderTimeout, DefaultHeaderTimeout)
+	s.IdleTimeout = cmp.Or(s.IdleTimeout, DefaultIdleTimeout)
+	s.WriteTimeout = cmp.Or(s.WriteTimeout, DefaultWriteTimeout)
 	s.Handler = handler(s.Handler)
 	s.ConnContext = connContext(s.ConnContext)
 	s.ConnState = connState(s.ConnState)
--- a/limits/inbound/inbound_test.go
+++ b/limits/inbound/inbound_test.go
@@ -36,7 +36,7 @@
 	assert.NilError(t, err)
 	s.address = inner.Addr().String()
 	server := &http.Server{Handler: http.HandlerFunc(s.serve)}
-	limiter.Configure(server, HTTPOptions{})
+	limiter.Configure(server)
 	go server.Serve(limiter.Listen(inner))
 	t.Cleanup(func() { server.Close() })
 	return s
--- a/limits/inbound/limiter.go
+++ b/limits/inbound/limiter.go
@@ -120,7 +120,11 @@
 	}
 	l.remove(chosen)
 	l.options.Closed(reason)
-	go chosen.Conn.Close() // A TLS connection may take time to close.
+	if _, ok := chosen.Conn.(*tls.Conn); ok {
+		go chosen.Conn.Close() // It may take time.
+	} else {
+		chosen.Conn.Close()
+	}
 	return true
 }
 
--- a/limits/inbound/options.go
+++ b/limits/inbound/options.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Defaults of [HTTPOptions].
+// Defaults of the limits of an HTTP server.
 const (
 	DefaultHeaderBytes   = 64 << 10
 	DefaultHeaderTimeout = 5 * time.Second
--- a/limits/inbound/refusals_test.go
+++ b/limits/inbound/refusals_test.go
@@ -36,7 +36,7 @@
 			idle <- struct{}{}
 		}
 	}}
-	limiter.Configure(server, HTTPOptions{})
+	limiter.Configure(server)
 	go server.Serve(limiter.Listen(inner))
 	t.Cleanup(func() { server.Close() })
 	s := &testServer{t: t, limiter: limiter, address: inner.Addr().String()}
@@ -63,7 +63,7 @@
 			_, _ = w.Write(response) // It fails when the connection is closed.
 		}
 	})}
-	limiter.Configure(server, HTTPOptions{})
+	limiter.Configure(server)
 	go server.Serve(limiter.Listen(inner))
 	t.Cleanup(func() { server.Close() })
 	for range most {
--- a/peer/node.go
+++ b/peer/node.go
@@ -61,6 +61,11 @@
 		}
 		n.listener = listener
 	}
+	limiter, err := n.newLimiter()
+	if err != nil {
+		return nil, fmt.Errorf("peer: %w", err)
+	}
+	n.listener = limiter.Listen(n.listener)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n, nil
 }
--- a/peer/session.go
+++ b/peer/session.go
@@ -15,6 +15,8 @@
 	conn   net.Conn
 	ctx    context.Context
 	cancel context.CancelFunc
+	// onBound is called on the first Hello.
+	onBound func()
 
 	mu     sync.Mutex
 	sender Sender           // Zero until the first Hello.
@@ -22,7 +24,7 @@
 }
 
 func (n *Node) newSession(conn net.Conn) *session {
-	s := &session{node: n, conn: conn}
+	s := &session{node: n, conn: conn, onBound: func() {}}
 	s.ctx, s.cancel = context.WithCancel(n.ctx)
 	return s
 }
@@ -39,6 +41,9 @@
 	if s.opened[class] {
 		return fmt.Errorf("the session already has a stream of class %s", Class(class))
 	}
+	if s.sender == (Sender{}) {
+		s.onBound()
+	}
 	s.sender, s.opened[class] = sender, true
 	return nil
 }
--- a/peridotcrank/entry/listen.go
+++ b/peridotcrank/entry/listen.go
@@ -67,6 +67,6 @@
 
 func (p *Process) serveMetrics(l net.Listener) error {
 	server := &http.Server{Handler: p.metrics.Handler()}
-	p.limiters.metrics.Configure(server, inbound.HTTPOptions{})
+	p.limiters.metrics.Configure(server)
 	return server.Serve(l)
 }
--- a/peridotcrank/entry/process.go
+++ b/peridotcrank/entry/process.go
@@ -18,7 +18,6 @@
 	"peridotcrank.dev/exchange"
 	"peridotcrank.dev/fleet"
 	"peridotcrank.dev/gateway"
-	"peridotcrank.dev/limits/inbound"
 	"peridotcrank.dev/limits/retry"
 	"peridotcrank.dev/membership/monotime"
 	"peridotcrank.dev/peer"
@@ -210,10 +209,7 @@
 		return err
 	}
 	p.admin = admin.NewHTTPServer(server)
-	p.limiters.admin.Configure(p.admin, inbound.HTTPOptions{
-		HeaderBytes: p.admin.MaxHeaderBytes, HeaderTimeout: p.admin.ReadHeaderTimeout,
-		IdleTimeout: p.admin.IdleTimeout, WriteTimeout: p.admin.WriteTimeout,
-	})
+	p.limiters.admin.Configure(p.admin)
 	return nil
 }
 
--- a/peridotcrank/jobproc/servers.go
+++ b/peridotcrank/jobproc/servers.go
@@ -56,7 +56,7 @@
 	auxiliary := inbound.Options{
 		Connections: min(maxAuxiliaryConnections, s.Limits.Descriptors/auxiliaryDescriptorShare), Memory: s.Limits.Memory / auxiliaryMemoryShare,
 	}
-	callers = &http.Server{Handler: p.newCallerHandler()}
+	callers = newServer(p.newCallerHandler(), s.Limits)
 	for _, server := range []struct {
 		http    *http.Server
 		name    string
@@ -64,21 +64,23 @@
 		options inbound.Options
 	}{
 		{callers, "callers", s.Listen.Callers, inbound.Options{Connections: s.Limits.Connections, Memory: s.Limits.Memory / callerMemoryShare}},
-		{&http.Server{Handler: http.HandlerFunc(p.serveReady)}, "readiness", s.Listen.Ready, auxiliary},
+		{newServer(http.HandlerFunc(p.serveReady), s.Limits), "readiness", s.Listen.Ready, auxiliary},
 		{p.metrics.NewHTTPServer(), "metrics", s.Listen.Metrics, auxiliary},
 	} {
 		listener, err := p.listen(server.name, server.address, server.options)
 		if err != nil {
 			return nil, nil, err
 		}
-		listener.limiter.Configure(server.http, inbound.HTTPOptions{
-			HeaderBytes: int(s.Limits.HeaderBytes), HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		})
+		listener.limiter.Configure(server.http)
 		go func() { errors <- server.http.Serve(listener.bounded) }()
 	}
 	return callers, errors, nil
 }
 
+func newServer(h http.Handler, l settings.Limits) *http.Server {
+	return &http.Server{Handler: h, MaxHeaderBytes: int(l.HeaderBytes), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // boundedListener is a listener with the limiter of its connections.
 type boundedListener struct {
 	bounded net.Listener
