Soak: stale reads also while the pools get their first owners

An owner object that has inherited jobs soon commits their ends and meets the other one's commits; one without jobs goes on for longer, and stops the runs of jobs that the other one accepts. Its callers ask for jobs that were never submitted, so that they need no accepted ones.

--- a/testbed/soak/run.go
+++ b/testbed/soak/run.go
@@ -156,6 +156,7 @@
 	if err := r.configure(); err != nil {
 		return err
 	}
+	r.callers = newCallers(r)
 	for i := range r.options.Processes {
 		p, err := newProcess(r.options.Dir, r.options.Binary, fmt.Sprintf("entry-%d", i), r.platform.StoreAddress, r.platform.MachinesAddress, r.keys != nil)
 		if err != nil {
@@ -166,7 +167,9 @@
 			return err
 		}
 	}
-	r.callers = newCallers(r)
+	if slices.Contains(r.options.Faults, staleReadFault) {
+		r.holdReadsAtStart()
+	}
 	return r.awaitFirstJob()
 }
 
--- a/testbed/soak/staleread.go
+++ b/testbed/soak/staleread.go
@@ -11,7 +11,8 @@
 // staleReadFault holds up the results of the reads from which the processes learn the owners of the
 // pools, while transactions take effect in time. Meanwhile it kills the owner of a pool, so that
 // others take its shards over and then handle rows that were read before that. Callers that ask for
-// jobs of the pool let the processes read again at once. It is only injected when it is named.
+// jobs of the pool let the processes read again at once. It is only injected when it is named, then
+// also, without a kill, at the start of the processes.
 const staleReadFault = "staleread"
 
 const (
@@ -29,32 +30,47 @@
 	staleReadCallPause = 100 * time.Millisecond
 )
 
-// holdReadsAndKill holds up the results of reads until end is called, and kills the owner of a pool.
-func (r *run) holdReadsAndKill(pool int, rng *rand.Rand) (target string, end func()) {
+// holdReads holds up the results of reads and lets callers ask for jobs of a pool, until end is called.
+func (r *run) holdReads(pool int, rng *rand.Rand) (end func()) {
 	release := r.platform.HoldPages(clusterTable, minStaleness, maxStaleness)
-	killAt := staleReadKillAt - killJitter/2 + randomDuration(rng, 0, killJitter)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	group.Go(func() {
-		time.Sleep(killAt)
-		r.killOwner(poolName(pool))
-	})
 	for range staleReadCallers {
 		caller := rand.New(rand.NewPCG(rng.Uint64(), 1))
-		group.Go(func() { r.callers.pollJobs(ctx, pool, caller) })
+		group.Go(func() { r.callers.askForUnknownJobs(ctx, pool, caller) })
+	}
+	return func() { cancel(); group.Wait(); release() }
+}
+
+// holdReadsAndKill starts a staleReadFault, which lasts until end is called.
+func (r *run) holdReadsAndKill(pool int, rng *rand.Rand) (target string, end func()) {
+	killAt := staleReadKillAt - killJitter/2 + randomDuration(rng, 0, killJitter)
+	release := r.holdReads(pool, rng)
+	killed := make(chan struct{})
+	go func() {
+		defer close(killed)
+		time.Sleep(killAt)
+		r.killOwner(poolName(pool))
+	}()
+	return poolName(pool), func() { <-killed; release() }
+}
+
+// holdReadsAtStart holds up the results of reads while the pools, which have no jobs yet, get their
+// first owners.
+func (r *run) holdReadsAtStart() {
+	rng := rand.New(rand.NewPCG(r.options.Seed, 11))
+	for pool := range r.options.Pools {
+		time.AfterFunc(minStaleRead, r.holdReads(pool, rng))
 	}
-	return poolName(pool), func() { cancel(); group.Wait(); release() }
 }
 
-// pollJobs asks for accepted jobs of a pool until ctx ends.
-func (c *callers) pollJobs(ctx context.Context, pool int, rng *rand.Rand) {
+// askForUnknownJobs asks the owner of a pool for jobs that were never submitted, until ctx ends.
+func (c *callers) askForUnknownJobs(ctx context.Context, pool int, rng *rand.Rand) {
 	for ; ctx.Err() == nil; pause(ctx, staleReadCallPause) {
-		id, ok := c.randomAccepted(rng)
-		if !ok || c.run.poolOf(id) != pool {
-			continue
-		}
-		if status, _ := c.sendRequest(rng, http.MethodGet, id, c.run.keys.valid(workspaceOf(id), rng), nil); status == http.StatusGone {
-			c.recordViolation("job %s was accepted, but its status is gone", id)
+		s := newSubmission(rng)
+		for c.run.poolOf(s.id) != pool {
+			s = newSubmission(rng)
 		}
+		c.sendRequest(rng, http.MethodGet, s.id, c.run.keys.valid(s.workspace, rng), nil)
 	}
 }
