--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -94,6 +94,20 @@
 	}
 }
 
+// Guards against a process that acquires a shard twice, and against tasks that then run twice, because
+// a read shows the owners from before its takeover.
+func TestStaleReads(t *testing.T) {
+	binary := buildProgram(t)
+	for _, seed := range []uint64{1, 2, 5} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			assert.NilError(t, Run(Options{
+				Binary: binary, Dir: t.TempDir(), Seed: seed, Duration: shortRun, Processes: 7, Pools: 4, Workers: 10, Faults: []string{staleReadFault},
+				Acknowledgements: workertest.ForgetExisting.String(),
+			}))
+		})
+	}
+}
+
 // Guards against a soak that ends with a panic or does not end when a program cannot be
 // started.
 func TestProgramThatCannotStart(t *testing.T) {
