Review case 11: calls for advice that are given up keep jobs from starting

Six jobs come at once to each of four queues with advice. From then on nearly every call for advice is given up before it is answered, and asked again. 14 s after the traffic most jobs have not begun, on empty workers.

--- a/review/cases-3/client.go
+++ b/review/cases-3/client.go
@@ -15,6 +15,7 @@
 type queueConfig struct {
 	name, host, prefix, service string
 	attempts, prio              int
+	advised                     bool
 }
 
 // configure writes op/config.
@@ -25,10 +26,14 @@
 	}
 	routes := []map[string]any{}
 	for _, q := range queues {
-		routes = append(routes, map[string]any{
+		route := map[string]any{
 			"name": q.name, "host": q.host, "prefix": q.prefix, "service": q.service, "timeout-ms": 3000, "slo-ms": 600,
 			"prio": q.prio, "attempts": q.attempts, "stretch": 1.6,
-		})
+		}
+		if q.advised {
+			route["advice"] = map[string]any{"decide-ms": decideTime.Milliseconds(), "each-ms": eachTime.Milliseconds(), "valid-ms": ticketValid.Milliseconds()}
+		}
+		routes = append(routes, route)
 	}
 	data, _ := json.Marshal(map[string]any{"version": version, "services": list, "routes": routes, "limits": map[string]any{"max-body-bytes": 262144}})
 	s.put("op", "config", data)
--- a/review/cases-3/cloud.go
+++ b/review/cases-3/cloud.go
@@ -94,31 +94,36 @@
 	}
 	fence, _ := strconv.ParseUint(r.Header.Get("X-Peridotcrank-Fence-Token"), 10, 64)
 	c.world.mu.Lock()
-	defer c.world.mu.Unlock()
-	m := c.machines[body.Machine]
-	refuse := func(reason string) { writeJSON(w, http.StatusConflict, map[string]any{"reason": reason}) }
-	switch {
-	case m == nil || !upkeep && !c.pools[body.Pool]:
-		w.WriteHeader(http.StatusBadRequest)
+	status, reason := c.execute(body.Machine, body.Pool, body.Wave, fence, upkeep)
+	c.world.mu.Unlock()
+	if status == http.StatusConflict {
+		writeJSON(w, status, map[string]any{"reason": reason})
 		return
+	}
+	w.WriteHeader(status)
+}
+
+// execute carries an order out. The caller holds the lock of the world.
+func (c *cloud) execute(machine, pool string, wave int64, fence uint64, upkeep bool) (status int, reason string) {
+	m := c.machines[machine]
+	switch {
+	case m == nil || !upkeep && !c.pools[pool]:
+		return http.StatusBadRequest, ""
 	case fence < m.fence:
-		refuse("fence")
-		return
+		return http.StatusConflict, "fence"
 	}
 	m.fence = fence
 	switch {
-	case upkeep && m.upkept[body.Wave], !upkeep && m.pool == body.Pool:
-		w.WriteHeader(http.StatusOK)
-		return
+	case upkeep && m.upkept[wave], !upkeep && m.pool == pool:
+		return http.StatusOK, ""
 	case m.state != "up":
-		refuse("busy")
-		return
+		return http.StatusConflict, "busy"
 	}
 	away := moveTime
 	if upkeep {
-		away, m.state, m.upkept[body.Wave] = upkeepTime, "upkeep", true
+		away, m.state, m.upkept[wave] = upkeepTime, "upkeep", true
 	} else {
-		m.state, m.pool = "moving", body.Pool
+		m.state, m.pool = "moving", pool
 	}
 	c.world.rec.printf("machine %s: %s to %s fence %d", m.name, m.state, m.pool, fence)
 	former := m.worker
@@ -127,7 +132,7 @@
 		c.store.drop("servers", former.id)
 	}()
 	time.AfterFunc(away, func() { c.renew(m) })
-	w.WriteHeader(http.StatusOK)
+	return http.StatusOK, ""
 }
 
 // renew brings a machine back with a new worker.
--- a/review/cases-3/pace.go
+++ b/review/cases-3/pace.go
@@ -37,19 +37,19 @@
 			return "", err
 		}
 		w.tailAt = heavyTail
-		w.fault = func(path string, o order) (fault, time.Duration) {
+		w.delay = func(path string, o order) time.Duration {
 			mu.Lock()
 			defer mu.Unlock()
 			if path != "/pace" {
-				return noFault, 0
+				return 0
 			}
 			paces[w.id]++
 			s.rec.printf("order on pace to %s: %s to %d", w.id, o.Task, o.Percent)
 			if trouble && heldUpAt.IsZero() && o.Percent < 100 && o.Percent > 0 {
 				heldUpAt = time.Now()
-				return carriedOutLate, heldUpFor
+				return heldUpFor
 			}
-			return noFault, 0
+			return 0
 		}
 	}
 	if err := s.startAll(6 * time.Second); err != nil {
--- a/review/cases-3/process.go
+++ b/review/cases-3/process.go
@@ -113,6 +113,15 @@
 	nextPort int
 )
 
+// addSetting inserts a line before the first one that begins with a prefix.
+func (p *process) addSetting(prefix, line string) error {
+	data, err := os.ReadFile(p.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.settings, []byte(strings.Replace(string(data), prefix, line+prefix, 1)), 0o600)
+}
+
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/cases-3/system.go
+++ b/review/cases-3/system.go
@@ -1,15 +1,10 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
-	"sync/atomic"
 	"time"
 )
 
@@ -22,9 +17,7 @@
 	cloud     *cloud
 	processes []*process
 	caller    *caller
-	// paths are the paths of the processes to the store.
-	paths   []*storePath
-	servers []*http.Server
+	servers   []*http.Server
 }
 
 // newSystem starts the stand-ins of the platform and writes the settings of the processes.
@@ -42,14 +35,12 @@
 	if err != nil {
 		return nil, err
 	}
-	s.servers = []*http.Server{cloudServer}
+	storeAddress, storeServer, err := serve(s.store.handler())
+	if err != nil {
+		return nil, err
+	}
+	s.servers = []*http.Server{cloudServer, storeServer}
 	for i := range processes {
-		path := &storePath{inner: s.store.handler()}
-		storeAddress, storeServer, err := serve(path)
-		if err != nil {
-			return nil, err
-		}
-		s.paths, s.servers = append(s.paths, path), append(s.servers, storeServer)
 		p, err := newProcess(s.dir, fmt.Sprintf("front-%d", i), storeAddress, cloudAddress)
 		if err != nil {
 			return nil, err
@@ -86,50 +77,3 @@
 	}
 	os.RemoveAll(s.dir)
 }
-
-// pathFault is what happens on the path of a process to the store.
-type pathFault int32
-
-const (
-	pathSound    pathFault = iota
-	pathSilent             // No call arrives, and no answer.
-	pathRefusing           // Each call gets 503.
-	pathReset              // Each connection is reset.
-	pathSlow               // Each answer takes 240 ms.
-	pathLossy              // A third of the transactions is carried out late and not answered.
-)
-
-const slowAnswer = 240 * time.Millisecond
-
-// storePath is the path of a process to the store.
-type storePath struct {
-	inner http.Handler
-	fault atomic.Int32
-}
-
-// ServeHTTP implements [http.Handler].
-func (p *storePath) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch pathFault(p.fault.Load()) {
-	case pathSilent:
-		_, _ = io.Copy(io.Discard, r.Body)
-		hang(r)
-	case pathRefusing:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case pathReset:
-		panic(http.ErrAbortHandler)
-	case pathSlow:
-		time.Sleep(slowAnswer)
-	case pathLossy:
-		if r.Method == http.MethodPost && rand.IntN(100) < 35 {
-			body, _ := io.ReadAll(r.Body)
-			late := r.Clone(r.Context())
-			time.AfterFunc(time.Second+rand.N(5*time.Second), func() {
-				late.Body = io.NopCloser(bytes.NewReader(body))
-				p.inner.ServeHTTP(httptest.NewRecorder(), late)
-			})
-			hang(r)
-		}
-	}
-	p.inner.ServeHTTP(w, r)
-}
--- a/review/cases-3/worker.go
+++ b/review/cases-3/worker.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"time"
 )
 
@@ -31,6 +30,7 @@
 	timer    *time.Timer
 	pace     int
 	stopping bool
+	how      string // Of its end, if nothing else ends it.
 	step     *stepSpec
 }
 
@@ -51,16 +51,6 @@
 // noted reports whether the end counts as taken note of.
 func (e *simEnd) noted() bool { return e.acked }
 
-// fault is what happens to an order.
-type fault uint8
-
-const (
-	noFault fault = iota
-	requestLost
-	answerLost
-	carriedOutLate
-)
-
 // simWorker is a worker.
 type simWorker struct {
 	world   *world
@@ -86,9 +76,9 @@
 	changed chan struct{}
 	seq     int
 
-	// fault decides what happens to an order; nil for nothing. delay is that of a late one.
-	fault func(path string, body order) (fault, time.Duration)
-	cut   atomic.Bool // It answers nobody and gets nothing.
+	// delay returns by how much an order is carried out late, without an answer; 0 for in time. Nil
+	// for none.
+	delay func(path string, body order) time.Duration
 	// tailAt returns the tail of a task that serves, by its target and the pace beside it.
 	tailAt func(target float64, fillingPace int) float64
 }
@@ -219,9 +209,6 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if k.cut.Load() {
-		hang(r)
-	}
 	k.world.mu.Lock()
 	up := k.up
 	k.world.mu.Unlock()
@@ -232,26 +219,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	kind, delay := noFault, time.Duration(0)
-	if k.fault != nil {
-		kind, delay = k.fault(r.URL.Path, o)
-	}
-	switch kind {
-	case requestLost:
-		hang(r)
-	case carriedOutLate:
-		time.AfterFunc(delay, func() {
-			k.world.mu.Lock()
-			defer k.world.mu.Unlock()
-			if !k.up {
-				return
-			}
-			status, _ := k.execute(r.URL.Path, o, true)
-			k.world.rec.printf("late %s on %s: %+v -> %d", r.URL.Path, k.id, o, status)
-		})
-		k.world.rec.printf("held up %s on %s: %+v", r.URL.Path, k.id, o)
-		hang(r)
+	if k.delay != nil {
+		if delay := k.delay(r.URL.Path, o); delay > 0 {
+			k.carryOutLate(r, o, delay)
+		}
 	}
+
 	k.world.mu.Lock()
 	status, body := k.execute(r.URL.Path, o, false)
 	born := k.born
@@ -271,9 +244,6 @@
 		body = k.status()
 	}
 	k.world.mu.Unlock()
-	if kind == answerLost || k.cut.Load() {
-		hang(r)
-	}
 	if body != nil {
 		writeJSON(w, status, body)
 	} else {
@@ -281,6 +251,22 @@
 	}
 }
 
+// carryOutLate carries an order out later and gives no answer.
+func (k *simWorker) carryOutLate(r *http.Request, o order, delay time.Duration) {
+	path := r.URL.Path
+	k.world.rec.printf("held up %s on %s: %+v", path, k.id, o)
+	time.AfterFunc(delay, func() {
+		k.world.mu.Lock()
+		defer k.world.mu.Unlock()
+		if !k.up {
+			return
+		}
+		status, _ := k.execute(path, o, true)
+		k.world.rec.printf("late %s on %s: %+v -> %d", path, k.id, o, status)
+	})
+	hang(r)
+}
+
 // execute carries an order out. The caller holds the lock of the world.
 func (k *simWorker) execute(path string, o order, late bool) (int, map[string]any) {
 	if o.Fence < k.fence {
@@ -398,15 +384,31 @@
 func (r *simRun) work(after time.Duration) {
 	r.working = time.Now().Add(after)
 	if r.step.Lasts {
+		if r.step.fails != nil && r.step.fails(r.task.index, r.number) {
+			r.timer = time.AfterFunc(r.step.work, func() { r.worker.endIfRunning(r, "failed") })
+		}
 		return
 	}
-	left := max(r.step.work-r.worked, time.Millisecond) + after
-	how := "done"
+	left := max(r.step.work-r.worked, time.Millisecond)
+	r.how = "done"
 	if r.step.fails != nil && r.step.fails(r.task.index, r.number) {
-		how, left = "failed", left/2
+		r.how, left = "failed", left/2
 	}
 	r.timer.Stop()
-	r.timer = time.AfterFunc(left, func() { r.worker.endIfRunning(r, how) })
+	r.timer = time.AfterFunc(left+after, func() { r.worker.endIfRunning(r, r.how) })
+}
+
+// setPace changes the pace of a run: its work goes on at that percentage.
+func (r *simRun) setPace(percent int) {
+	if !r.step.Lasts && !r.working.IsZero() && !r.stopping {
+		r.worked, r.working = r.progress(), time.Now()
+		r.timer.Stop()
+		if percent > 0 {
+			left := max(r.step.work-r.worked, time.Millisecond) * 100 / time.Duration(percent)
+			r.timer = time.AfterFunc(left, func() { r.worker.endIfRunning(r, r.how) })
+		}
+	}
+	r.pace = percent
 }
 
 func (k *simWorker) endIfRunning(r *simRun, how string) {
@@ -422,7 +424,7 @@
 	if r.working.IsZero() || time.Now().Before(r.working) {
 		return r.worked
 	}
-	return r.worked + time.Since(r.working)
+	return r.worked + time.Since(r.working)*time.Duration(r.pace)/100
 }
 
 func (r *simRun) savedValue(final bool) string {
@@ -522,7 +524,7 @@
 		return http.StatusBadRequest, nil
 	}
 	if r := k.runs[t][o.Run]; r != nil {
-		r.pace = o.Percent
+		r.setPace(o.Percent)
 		k.world.rec.printf("pace %v run %d on %s: %d", t, o.Run, k.id, o.Percent)
 	}
 	return http.StatusOK, k.answer()
--- a/review/cases-3/world.go
+++ b/review/cases-3/world.go
@@ -93,9 +93,7 @@
 	broken  []string
 	gangMS  time.Duration
 	starts  int
-	// anyService leaves out the check of services.
-	anyService bool
-	ends       map[string]int
+	ends    map[string]int
 }
 
 func newWorld(rec *recorder) *world {
@@ -141,7 +139,7 @@
 	if !j.cancelledAt.IsZero() && time.Since(j.cancelledAt) > 3*time.Second && !late {
 		w.breakRule("UNASKED start of %v %.1f s after the cancelling", t, time.Since(j.cancelledAt).Seconds())
 	}
-	if on.service != j.service && !w.anyService {
+	if on.service != j.service {
 		w.breakRule("ROUTE start of %v on %s of service %s", t, on.id, on.service)
 	}
 	if step.Label != "" && !on.hasLabel(step.Label) && !late {
