--- a/review/cases-3/client.go
+++ b/review/cases-3/client.go
@@ -117,17 +117,4 @@
 	return body.State
 }
 
-// cancel cancels a job and reports whether that was acknowledged.
-func (c *caller) cancel(q queueConfig, id string, attempts int) bool {
-	for range attempts {
-		status, _, name := c.send(http.MethodDelete, q, id, nil)
-		c.rec.printf("DELETE %s at %s -> %d", id, name, status)
-		if status/100 == 2 || status == http.StatusGone {
-			return true
-		}
-		time.Sleep(300 * time.Millisecond)
-	}
-	return false
-}
-
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
--- a/review/cases-3/process.go
+++ b/review/cases-3/process.go
@@ -64,7 +64,6 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
-	status  string
 }
 
 // startCommand is that of the deploy file, relative to the root of the repository.
@@ -135,9 +134,6 @@
 	p.exited = exited
 	go func() {
 		_ = command.Wait()
-		p.mu.Lock()
-		p.status = command.ProcessState.String()
-		p.mu.Unlock()
 		close(exited)
 	}()
 	return nil
--- a/review/cases-3/worker.go
+++ b/review/cases-3/worker.go
@@ -14,7 +14,6 @@
 	saveTime    = time.Second
 	restoreTime = 100 * time.Millisecond
 	startupTime = 700 * time.Millisecond // Of a task that lasts, until it is at work.
-	notedAfter  = 100 * time.Millisecond
 )
 
 // simRun is a run on a worker.
@@ -36,16 +35,15 @@
 
 // simEnd is an end in the list of a worker.
 type simEnd struct {
-	n        uint64
-	task     taskName
-	run      int
-	how      string
-	saved    string
-	worker   *simWorker
-	born     int64
-	listedAt time.Time
-	void     bool // The worker left, or its lease lapsed, before it was taken note of.
-	acked    bool
+	n      uint64
+	task   taskName
+	run    int
+	how    string
+	saved  string
+	worker *simWorker
+	born   int64
+	void   bool // The worker left, or its lease lapsed, before it was taken note of.
+	acked  bool
 }
 
 // noted reports whether the end counts as taken note of.
@@ -56,7 +54,6 @@
 	world   *world
 	id      string
 	service string
-	machine string
 	labels  []string
 	cpu     int
 	memory  int
@@ -97,7 +94,7 @@
 
 // addWorker starts a worker and registers it.
 func (w *world) addWorker(s *store, id, service, rack string, cpu, memory int) (*simWorker, error) {
-	worker := &simWorker{world: w, id: id, service: service, machine: "m-" + id, labels: []string{"a", rack}, cpu: cpu, memory: memory, state: "ready"}
+	worker := &simWorker{world: w, id: id, service: service, labels: []string{"a", rack}, cpu: cpu, memory: memory, state: "ready"}
 	worker.reset()
 	address, _, err := serve(worker)
 	if err != nil {
@@ -363,7 +360,7 @@
 		r.work(restoreTimeIf(o.Saved != ""))
 		return http.StatusOK, k.answer()
 	}
-	r.timer = time.AfterFunc(k.world.gangMS, func() { k.endIfRunning(r, "alone") })
+	r.timer = time.AfterFunc(k.world.gangWait, func() { k.endIfRunning(r, "alone") })
 	if members := k.world.gangPresent(t, o.Run, r.step.Count); members != nil {
 		for _, m := range members {
 			m.timer.Stop()
@@ -560,9 +557,6 @@
 		}
 	}
 	for _, e := range k.ended[:min(len(k.ended), 500)] {
-		if e.listedAt.IsZero() {
-			e.listedAt = time.Now()
-		}
 		ended = append(ended, []any{e.n, e.task.String(), e.run, e.how, e.saved})
 	}
 	body["running"], body["ended"] = running, ended
