--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,8 +1,8 @@
 #!/bin/bash
-# Runs the case. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Runs the case, without the disruption if TROUBLE is 0. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/peridotcrank ] && [ -x review/bin/cases-3 ] || { echo "not built"; exit 2; }
-review/bin/cases-3 pace review/15/record.txt &
+TROUBLE="${TROUBLE:-1}" review/bin/cases-3 pace review/15/record.txt &
 child=$!
 trap 'kill "$child" 2>/dev/null' TERM INT EXIT
 wait "$child"
--- a/review/cases-3/advice.go
+++ b/review/cases-3/advice.go
@@ -64,10 +64,10 @@
 	a.served.Add(1)
 	if r.Context().Err() != nil {
 		a.unheard.Add(1)
-		a.rec.printf("%s: advice on %s about %d workers, its caller has gone", a.name, body.Step, len(body.Workers))
+		a.rec.printf("%s: advice on %s about %d workers, its caller has gone", a.name, recordName(body.Step), len(body.Workers))
 		return
 	}
-	a.rec.printf("%s: advice on %s about %d workers", a.name, body.Step, len(body.Workers))
+	a.rec.printf("%s: advice on %s about %d workers", a.name, recordName(body.Step), len(body.Workers))
 	good := [][]string{}
 	for _, id := range body.Workers {
 		good = append(good, []string{id, "t-" + id + "-" + body.Step})
--- a/review/cases-3/pace.go
+++ b/review/cases-3/pace.go
@@ -44,7 +44,7 @@
 				return 0
 			}
 			paces[w.id]++
-			s.rec.printf("order on pace to %s: %s to %d", w.id, o.Task, o.Percent)
+			s.rec.printf("order on pace to %s: %s to %d", w.id, recordName(o.Task), o.Percent)
 			if trouble && heldUpAt.IsZero() && o.Percent < 100 && o.Percent > 0 {
 				heldUpAt = time.Now()
 				return heldUpFor
--- a/review/cases-3/worker.go
+++ b/review/cases-3/worker.go
@@ -251,7 +251,7 @@
 // carryOutLate carries an order out later and gives no answer.
 func (k *simWorker) carryOutLate(r *http.Request, o order, delay time.Duration) {
 	path := r.URL.Path
-	k.world.rec.printf("held up %s on %s: %+v", path, k.id, o)
+	k.world.rec.printf("held up %s on %s: %s run %d percent %d fence %d", path, k.id, recordName(o.Task), o.Run, o.Percent, o.Fence)
 	time.AfterFunc(delay, func() {
 		k.world.mu.Lock()
 		defer k.world.mu.Unlock()
@@ -259,7 +259,7 @@
 			return
 		}
 		status, _ := k.execute(path, o, true)
-		k.world.rec.printf("late %s on %s: %+v -> %d", path, k.id, o, status)
+		k.world.rec.printf("late %s on %s: %s run %d percent %d fence %d -> %d", path, k.id, recordName(o.Task), o.Run, o.Percent, o.Fence, status)
 	})
 	hang(r)
 }
@@ -553,11 +553,11 @@
 	running, ended := []any{}, []any{}
 	for _, byRun := range k.runs {
 		for _, r := range byRun {
-			running = append(running, []any{r.task.String(), r.number, r.savedValue(false), r.percent(), k.measure(r)})
+			running = append(running, []any{r.task.wire(), r.number, r.savedValue(false), r.percent(), k.measure(r)})
 		}
 	}
 	for _, e := range k.ended[:min(len(k.ended), 500)] {
-		ended = append(ended, []any{e.n, e.task.String(), e.run, e.how, e.saved})
+		ended = append(ended, []any{e.n, e.task.wire(), e.run, e.how, e.saved})
 	}
 	body["running"], body["ended"] = running, ended
 	return body
--- a/review/cases-3/world.go
+++ b/review/cases-3/world.go
@@ -67,10 +67,17 @@
 	return t, nil
 }
 
-func (t taskName) String() string {
+// wire returns the name as the protocol has it.
+func (t taskName) wire() string {
 	return fmt.Sprintf("%s.%d.%d.%d", t.job, t.occurrence, t.step, t.index)
 }
 
+// String returns the name for the record, which does not look like an address.
+func (t taskName) String() string { return recordName(t.wire()) }
+
+// recordName returns the name of a task or a step for the record.
+func recordName(wire string) string { return strings.ReplaceAll(wire, ".", "/") }
+
 // taskRecord is what all workers together have seen of a task.
 type taskRecord struct {
 	running map[*simRun]bool
