TestSessionWithExcessBytesIsClosed: the second message may meet the closed session

The server closes the session at the first excess byte, which is what the test asks for, and when that comes before the result, the write fails. So the error of the write is no failure; found by reading, as the failure did not come again.

--- a/jobs/relay/bounds_test.go
+++ b/jobs/relay/bounds_test.go
@@ -78,7 +78,7 @@
 	stream, err := session.OpenStream()
 	assert.NilError(t, err)
 	assert.NilError(t, writeMessage(stream, &jobpb.Request{Id: "a", TimeoutMs: longTimeout.Milliseconds()}))
-	assert.NilError(t, writeMessage(stream, &jobpb.Request{Id: "b"}))
+	_ = writeMessage(stream, &jobpb.Request{Id: "b"}) // It fails if the session is closed at its first bytes.
 	select {
 	case <-session.CloseChan():
 	case <-time.After(longTimeout):
