Calls for advice take turns: one in flight a process, and each is heard

Cause: the adviser handles the calls of a machine one after the other, also those that were given up. Each pool had four calls in flight with the limit of one, so the fourth was given up before or while it was handled, and its step asked again behind the others.

Ruled out: more traffic than the adviser can answer (45 % of its time; with one call at a time the backlog goes); tickets that expire (no start is refused), though that happens with tickets that are valid for less time than a call.

Before: TestAdviceIsHeardAfterBatch, TestSlowAdviserIsHeard, TestShortTicketsAreUsed, TestBusyAdviserIsAskedAgain, TestAdviserIsNotAskedAboutCancelledJobs and TestNextOwnerAsksForAdvice fail on (jobs queued), and TestSilentAdviserIsAskedAgain passes.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -82,6 +82,7 @@
 	CopyStarted             Code = 4526
 	LastAttemptHeld         Code = 4527
 	JobCannotSucceed        Code = 4528
+	AdviceReceived          Code = 4529
 	WorkerGone              Code = 4530
 	WorkerRestarted         Code = 4531
 	WorkerUnreachable       Code = 4532
@@ -286,6 +287,7 @@
 	{CopyStarted, "copy-started", LevelInfo, "A second run of a task was started in parallel, because the first one takes long."},
 	{LastAttemptHeld, "last-attempt-held", LevelInfo, "The last attempt of a task waits for a worker with recent successful runs."},
 	{JobCannotSucceed, "job-cannot-succeed", LevelInfo, "A task failed on a worker with recent successful runs and on another one; the failures of its job are not attributed to workers."},
+	{AdviceReceived, "advice-received", LevelInfo, "The adviser has answered on the workers of a step."},
 	{WorkerGone, "worker-gone", LevelInfo, "A worker has ended; its tasks start on other workers."},
 	{WorkerRestarted, "worker-reborn", LevelInfo, "A worker restarted under the same id; its previous runs no longer exist."},
 	{WorkerUnreachable, "worker-unreachable", LevelWarning, "A worker does not answer; no new tasks are assigned to it."},
--- a/jobs/shard/advice.go
+++ b/jobs/shard/advice.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"time"
 
 	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/advice"
 	"peridotcrank.dev/jobs/worker"
 )
 
@@ -17,13 +17,9 @@
 	// advisedWorkersPerTask is the number of workers to ask about for each waiting
 	// task, since some of them may not be allowed to run the step.
 	advisedWorkersPerTask = 3
-	// maxAdviceCalls bounds the requests in flight; the adviser answers one at a time.
-	maxAdviceCalls = 4
-	// adviceTimeout is added to the duration that the advice policy states.
-	adviceTimeout    = 2 * time.Second
-	adviceRetryDelay = 250 * time.Millisecond
+	adviceRetryDelay      = 250 * time.Millisecond
 	// ticketMargin is the minimum remaining validity of a ticket when it is used, to
-	// cover the transmission of the order.
+	// cover the transmission of the order. It is at most half of the validity.
 	ticketMargin = 300 * time.Millisecond
 )
 
@@ -31,9 +27,10 @@
 type stepAdvice struct {
 	tickets map[*workerState]ticket
 	// denied are workers that are not allowed to run the step; this never changes.
-	denied          map[worker.ID]bool
-	requestInFlight bool
-	retryAt         time.Duration // When the adviser may be asked again after a failure.
+	denied  map[worker.ID]bool
+	retryAt time.Duration // When the adviser may be asked again after a failure.
+	// unusedCalls is the number of answered calls since a task of the step was last started.
+	unusedCalls int
 }
 
 type ticket struct {
@@ -43,7 +40,7 @@
 
 // advicePolicy returns the advice terms of a step's queue.
 func (s *Shard) advicePolicy(step *stepState) worker.AdvicePolicy {
-	if s.opts.Adviser == nil {
+	if s.opts.Advice == nil {
 		return worker.AdvicePolicy{}
 	}
 	return s.queues[step.job.job.Queue].Advice
@@ -65,32 +62,71 @@
 	return ""
 }
 
-// requestAdvice asks the adviser about workers with free capacity for the tasks of a
-// step that could not be placed. After a failure the request is repeated later.
-func (p *placementPass) requestAdvice(step *stepState) {
-	policy := p.shard.advicePolicy(step)
+// adviceRequest is the request of a shard to the queue for advice.
+type adviceRequest struct {
+	*advice.Request
+	step  *stepState
+	asked []*workerState
+}
+
+// isFor reports whether the request is about a step and about the same workers.
+func (r *adviceRequest) isFor(step *stepState, asked []*workerState) bool {
+	return r.step == step && slices.Equal(r.asked, asked)
+}
+
+// wantAdvice notes a step with tasks that could not be placed for want of a ticket. Of several, the
+// adviser is asked about the first one that has used its tickets, so that steps whose tickets expire
+// before they can be used do not keep the others from being asked about.
+func (p *placementPass) wantAdvice(step *stepState) {
 	a := &step.advice
-	if !policy.TicketRequired() || a.requestInFlight || p.now < a.retryAt || p.shard.adviceCalls >= maxAdviceCalls {
+	if !p.shard.advicePolicy(step).TicketRequired() || p.now < a.retryAt {
 		return
 	}
-	asked := p.workersWithoutAdvice(step)
-	if len(asked) == 0 {
+	if p.advised != nil && p.advised.advice.unusedCalls <= a.unusedCalls {
 		return
 	}
-	a.requestInFlight = true
-	p.shard.adviceCalls++
-	shard, stepName, sent := p.shard, step.tasks[0].ref().StepName(), p.now
+	if asked := p.workersWithoutAdvice(step); len(asked) > 0 {
+		p.advised, p.askedWorkers = step, asked
+	}
+}
+
+// requestAdvice asks the adviser about the step that the pass has chosen. A request that still waits for its turn
+// is replaced, since it may be about a step that has started or ended meanwhile.
+func (p *placementPass) requestAdvice() {
+	s, current := p.shard, p.shard.adviceRequest
+	switch {
+	case current == nil && p.advised == nil:
+	case current == nil:
+		s.adviceRequest = s.newAdviceRequest(p.advised, p.askedWorkers)
+		s.opts.Advice.Add(s.adviceRequest.Request)
+	case p.advised == nil:
+		s.withdrawAdviceRequest()
+	case !current.isFor(p.advised, p.askedWorkers):
+		r := s.newAdviceRequest(p.advised, p.askedWorkers)
+		if s.opts.Advice.Replace(current.Request, r.Request) {
+			s.adviceRequest = r
+		}
+	}
+}
+
+// withdrawAdviceRequest withdraws the request of this shard unless it was sent already.
+func (s *Shard) withdrawAdviceRequest() {
+	if s.adviceRequest != nil && s.opts.Advice.Replace(s.adviceRequest.Request, nil) {
+		s.adviceRequest = nil
+	}
+}
+
+func (s *Shard) newAdviceRequest(step *stepState, asked []*workerState) *adviceRequest {
+	r := &adviceRequest{step: step, asked: asked}
 	ids := make([]worker.ID, len(asked))
 	for i, w := range asked {
 		ids[i] = w.info.ID
 	}
-	limit := policy.CallDuration + time.Duration(len(ids))*policy.DurationPerWorker + adviceTimeout
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), limit)
-		defer cancel()
-		advice, err := shard.opts.Adviser.Advise(ctx, stepName, ids)
-		shard.opts.Loop.Post(func() { shard.handleAdvice(step, asked, advice, sent+policy.TicketValidity, err) })
-	}()
+	r.Request = &advice.Request{
+		Step: step.tasks[0].ref().StepName(), Workers: ids, Policy: s.advicePolicy(step),
+		Done: func(reply advice.Reply) { s.opts.Loop.Post(func() { s.handleAdvice(r, reply) }) },
+	}
+	return r
 }
 
 // workersWithoutAdvice returns the workers that have free capacity for a task of the
@@ -107,28 +143,36 @@
 }
 
 // handleAdvice stores the tickets for the workers that the adviser allows and marks
-// the other workers as denied. The tickets expire ticketMargin before until.
-func (s *Shard) handleAdvice(step *stepState, asked []*workerState, advice worker.Advice, until time.Duration, err error) {
-	a := &step.advice
-	a.requestInFlight = false
-	s.adviceCalls--
+// the other workers as denied.
+func (s *Shard) handleAdvice(r *adviceRequest, reply advice.Reply) {
+	s.adviceRequest = nil
 	if s.stopped {
 		return
 	}
-	if err != nil {
+	s.schedulePlacement()
+	a := &r.step.advice
+	fields := eventlog.Fields{
+		"job": r.step.job.job.ID, "step": r.Step, "workers": len(r.asked),
+		"took": (reply.ReceivedAt - reply.SentAt).String(), "limit": reply.Limit.String(),
+	}
+	if reply.Err != nil {
 		a.retryAt = s.opts.Clock() + adviceRetryDelay
-		s.recordEvent(eventlog.AdviceFailed, eventlog.Fields{"job": step.job.job.ID, "step": step.tasks[0].ref().StepName(), "workers": len(asked), "error": err})
+		fields["error"] = reply.Err
+		s.recordEvent(eventlog.AdviceFailed, fields)
 		return
 	}
+	fields["allowed"] = len(reply.Advice)
+	s.recordEvent(eventlog.AdviceReceived, fields)
+	a.unusedCalls++
 	if a.tickets == nil {
 		a.tickets, a.denied = map[*workerState]ticket{}, map[worker.ID]bool{}
 	}
-	for _, w := range asked {
-		if value, ok := advice[w.info.ID]; ok {
-			a.tickets[w] = ticket{value, until - ticketMargin}
+	expiresAt := reply.ReceivedAt + r.Policy.TicketValidity - min(ticketMargin, r.Policy.TicketValidity/2)
+	for _, w := range r.asked {
+		if value, ok := reply.Advice[w.info.ID]; ok {
+			a.tickets[w] = ticket{value, expiresAt}
 		} else {
 			a.denied[w.info.ID] = true
 		}
 	}
-	s.schedulePlacement()
 }
--- a/jobs/shard/options.go
+++ b/jobs/shard/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/advice"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/loop"
 	"peridotcrank.dev/jobs/rows"
@@ -36,7 +37,7 @@
 
 	Store    rows.Store        // Required.
 	Workers  worker.Client     // Required.
-	Adviser  worker.Adviser    // For queues with advice; nil for none.
+	Advice   *advice.Queue     // For queues with advice; nil for none.
 	Loop     loop.Runner       // Required.
 	Recorder eventlog.Recorder // Required.
 	// OwnsShard reports whether this process owns the shard and its lease has not
--- a/jobs/shard/place.go
+++ b/jobs/shard/place.go
@@ -47,6 +47,7 @@
 	}
 	waiting := s.waitingSteps()
 	if len(waiting) == 0 && !s.hasSpeculativeSteps() {
+		s.withdrawAdviceRequest()
 		s.fair.held = nil
 		return
 	}
@@ -56,6 +57,7 @@
 	for _, step := range waiting {
 		p.placeStep(step)
 	}
+	p.requestAdvice()
 	s.fair.held = p.held
 	s.starts.waiting = s.starts.full()
 	if len(p.unplaceable) == 0 && !s.starts.full() {
@@ -119,6 +121,9 @@
 	evidence     *evidence  // nil until it is needed.
 	// held are the workers that excess jobs leave to a step within weight.
 	held map[*workerState]struct{}
+	// advised is the step about which the adviser is asked next, and askedWorkers the workers; nil for none.
+	advised      *stepState
+	askedWorkers []*workerState
 }
 
 // newPlacementPass takes a snapshot of the workers that can receive tasks, in the
@@ -181,7 +186,7 @@
 		}
 		i := p.chooseNode(t)
 		if t.held {
-			p.requestAdvice(step)
+			p.wantAdvice(step)
 			continue
 		}
 		if i == scheduler.None {
@@ -189,7 +194,7 @@
 				p.unplaceable = append(p.unplaceable, reserved)
 			}
 			p.holdWorkersFor(step)
-			p.requestAdvice(step)
+			p.wantAdvice(step)
 			break
 		}
 		p.startTask(t, i, p.shard.nextRun(t.lastRun))
@@ -243,6 +248,7 @@
 
 func (p *placementPass) startTask(t *task, node, run int) {
 	p.started = append(p.started, p.shard.startTask(t, p.workers[node], run))
+	t.step.advice.unusedCalls = 0
 	p.nodes[node].Free = p.workers[node].free()
 }
 
@@ -288,7 +294,7 @@
 	chosen := p.chooseGangNodes(step)
 	if chosen == nil {
 		p.holdWorkersFor(step)
-		p.requestAdvice(step)
+		p.wantAdvice(step)
 		return
 	}
 	run = p.shard.nextRun(run)
--- a/jobs/shard/rig_test.go
+++ b/jobs/shard/rig_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/advice"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/loop"
 	"peridotcrank.dev/jobs/rows"
@@ -61,6 +62,8 @@
 	attemptRecords bool // Of owners started from then on.
 	owners         []*owner
 	adviser        worker.Adviser
+	// adviceQueue is that of the process of the owners started from then on; nil for a new one.
+	adviceQueue *advice.Queue
 	// client sends the orders of new owners; nil for the fleet itself.
 	client worker.Client
 	// unknownHomes lets new owners learn the part of the rows of IDs. Otherwise they know it, as if
@@ -193,7 +196,7 @@
 	s, err := New(Options{
 		Pool: pool, Owner: fmt.Sprintf("owner-%d", r.fence), Fence: r.fence, Acquisition: 1,
 		LeaseDuration: testLease, MaxLease: r.fleet.MaxLease, KeepEnded: 10 * time.Minute, StopTime: testStopTime,
-		Store: store, Workers: client, Adviser: r.adviser, Loop: o.loop, Recorder: r.recorder,
+		Store: store, Workers: client, Advice: r.adviceOfProcess(), Loop: o.loop, Recorder: r.recorder,
 		OwnsShard: o.ownsShard.Load, OnLost: func() { o.lost.Store(true) },
 		Clock:            func() time.Duration { return time.Since(r.startedAt) + time.Second },
 		LearnedDurations: r.learned, AttemptRecords: r.attemptRecords,
@@ -214,6 +217,14 @@
 	return o
 }
 
+// adviceOfProcess returns the queue for advice that the owners of a process share.
+func (r *rig) adviceOfProcess() *advice.Queue {
+	if r.adviser != nil && r.adviceQueue == nil {
+		r.adviceQueue = advice.NewQueue(r.adviser, func() time.Duration { return time.Since(r.startedAt) + time.Second })
+	}
+	return r.adviceQueue
+}
+
 func (r *rig) callOnLoop(f func()) { r.loop.Call(context.Background(), f) }
 
 func testJobID(n int) job.ID { return job.ID(fmt.Sprintf("%016x", n)) }
--- a/jobs/shard/shard.go
+++ b/jobs/shard/shard.go
@@ -52,8 +52,8 @@
 	// which this owner does not know.
 	unaccountedWorkers int
 	placementScheduled bool
-	placementNeeded    bool // Something has changed since the last placement pass.
-	adviceCalls        int  // Advice requests in flight.
+	placementNeeded    bool           // Something has changed since the last placement pass.
+	adviceRequest      *adviceRequest // Waiting or in flight; nil for none.
 	starts             startWindow
 	replies            replyMonitor
 	registry           []worker.Info
@@ -117,6 +117,7 @@
 	}
 	s.stopped = true // First, so that the shard does not act on if a fault in its state strikes again.
 	s.recordLastEndsStored()
+	s.withdrawAdviceRequest()
 	for _, js := range s.jobs {
 		code := Unknown
 		if !js.stored && !s.journal.mayHaveSentRow(js) {
--- a/peridotcrank/jobproc/process.go
+++ b/peridotcrank/jobproc/process.go
@@ -12,6 +12,7 @@
 
 	"peridotcrank.dev/eventlog"
 	"peridotcrank.dev/eventlog/metrics"
+	"peridotcrank.dev/jobs/advice"
 	"peridotcrank.dev/jobs/cluster"
 	"peridotcrank.dev/jobs/ingress"
 	"peridotcrank.dev/jobs/loop"
@@ -40,7 +41,7 @@
 	directStore rows.Store
 	storeRelay  *rowsrelay.Store
 	workers     worker.Client
-	adviser     worker.Adviser // Nil if the platform has no advice service.
+	advice      *advice.Queue // Nil if the platform has no advice service.
 	cluster     *cluster.Manager
 	forwarder   *ingress.Forwarder
 	client      *relay.Client
@@ -112,7 +113,7 @@
 	}
 	p.store = store
 	if s.Platform.Advice != "" {
-		p.adviser = platform.NewAdviser(s.Platform.Advice)
+		p.advice = advice.NewQueue(platform.NewAdviser(s.Platform.Advice), clock.Now)
 	}
 	p.settings.Store(&s)
 	p.gate = ingress.NewGate(ingress.GateOptions{Clock: clock.Now, RevokeTime: s.Keys.Revoke})
