Numbers are checked before they become times, sums or products

Cause: Job.Due multiplied two durations, which overflows beyond 292 years; the parts were checked, not the product.

Ruled out: a start time lost in the row (then all would start), a jump of the time of day (12 occurrences wait).

Due times are computed in seconds; the job stays accepted. The other numbers of callers, rows and the platform on the job path go through jobs/bounded: interval-ms of 584 years was taken for 0.4 ms, a distant deadline for one that has passed, max-per-server 4,294,967,297 for 1, clocks and run numbers of workers for negative ones.

--- a/jobs/job/codec.go
+++ b/jobs/job/codec.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"peridotcrank.dev/jobs/bounded"
 	"peridotcrank.dev/jobs/jobpb"
 )
 
@@ -27,10 +28,10 @@
 func stepRecord(s *Step) *jobpb.Step {
 	record := &jobpb.Step{
 		Count: int32(s.Count), CpuMilli: s.Resources.CPU, MemoryMb: s.Resources.MemoryMB, Gpu: s.Resources.GPU,
-		EstimateMs: s.Estimate.Milliseconds(), Gang: s.Gang, SameRack: s.SameRack,
-		RequiredLabel: s.RequiredLabel, PreferredRack: s.PreferredRack, MaxPerWorker: int32(s.MaxPerWorker),
+		EstimateMs: min(s.Estimate, MaxEstimate).Milliseconds(), Gang: s.Gang, SameRack: s.SameRack,
+		RequiredLabel: s.RequiredLabel, PreferredRack: s.PreferredRack, MaxPerWorker: bounded.Int32(s.MaxPerWorker),
 		Speculative: s.Speculative, Checkpoint: s.Checkpoint, LongRunning: s.LongRunning, Image: s.Image,
-		TargetMs: s.LatencyTarget.Milliseconds(), Fills: s.BestEffortCPU, MaxDisrupted: int32(s.MaxDisrupted),
+		TargetMs: s.LatencyTarget.Milliseconds(), Fills: s.BestEffortCPU, MaxDisrupted: bounded.Int32(s.MaxDisrupted),
 	}
 	for _, dependency := range s.After {
 		record.After = append(record.After, int32(dependency))
@@ -42,7 +43,7 @@
 func FromRecord(record *jobpb.Job) *Job {
 	j := &Job{
 		ID: ID(record.Id), Queue: Queue(record.Queue), Workspace: Workspace(record.Workspace), Spec: record.Spec, ScheduledOccurrences: int(record.Times),
-		Interval: time.Duration(record.IntervalMs) * time.Millisecond, Accepted: time.UnixMilli(record.AcceptedUnixMs),
+		Interval: bounded.Milliseconds(record.IntervalMs), Accepted: time.UnixMilli(record.AcceptedUnixMs),
 		Steps: make([]Step, len(record.Steps)), IDPart: record.IdPart,
 	}
 	if j.ScheduledOccurrences > 0 {
@@ -57,10 +58,10 @@
 func stepFromRecord(s *jobpb.Step) Step {
 	step := Step{
 		Count: int(s.Count), Resources: Resources{s.CpuMilli, s.MemoryMb, s.Gpu},
-		Estimate: time.Duration(s.EstimateMs) * time.Millisecond, Gang: s.Gang, SameRack: s.SameRack,
+		Estimate: min(bounded.Milliseconds(s.EstimateMs), MaxEstimate), Gang: s.Gang, SameRack: s.SameRack,
 		RequiredLabel: s.RequiredLabel, PreferredRack: s.PreferredRack, MaxPerWorker: int(s.MaxPerWorker),
 		Speculative: s.Speculative, Checkpoint: s.Checkpoint, LongRunning: s.LongRunning, Image: s.Image,
-		LatencyTarget: time.Duration(s.TargetMs) * time.Millisecond, BestEffortCPU: s.Fills, MaxDisrupted: int(s.MaxDisrupted),
+		LatencyTarget: bounded.Milliseconds(s.TargetMs), BestEffortCPU: s.Fills, MaxDisrupted: int(s.MaxDisrupted),
 	}
 	for _, dependency := range s.After {
 		step.After = append(step.After, int(dependency))
--- a/jobs/job/job.go
+++ b/jobs/job/job.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"peridotcrank.dev/jobs/bounded"
 )
 
 // ID identifies a job. The caller chooses it: 16 hexadecimal digits.
@@ -31,7 +33,7 @@
 
 // Plus returns the sum of both amounts.
 func (r Resources) Plus(other Resources) Resources {
-	return Resources{r.CPU + other.CPU, r.MemoryMB + other.MemoryMB, r.GPU + other.GPU}
+	return Resources{bounded.Sum(r.CPU, other.CPU), bounded.Sum(r.MemoryMB, other.MemoryMB), bounded.Sum(r.GPU, other.GPU)}
 }
 
 // Minus returns the difference of both amounts.
@@ -41,14 +43,14 @@
 
 // Times returns n times the amounts.
 func (r Resources) Times(n int) Resources {
-	return Resources{int64(n) * r.CPU, int64(n) * r.MemoryMB, int64(n) * r.GPU}
+	return Resources{bounded.Product(r.CPU, n), bounded.Product(r.MemoryMB, n), bounded.Product(r.GPU, n)}
 }
 
 // Step is a set of identical tasks of a job.
 type Step struct {
 	Count     int
 	Resources Resources
-	// Estimate is the task duration that the caller declared. It can be far from
+	// Estimate is the task duration that the caller declared, at most MaxEstimate. It can be far from
 	// the actual duration.
 	Estimate time.Duration
 	// After lists the indexes of earlier steps. All their tasks must be done before
@@ -118,7 +120,9 @@
 	if j.ScheduledOccurrences == 0 {
 		return time.Time{}
 	}
-	return j.Start.Add(time.Duration(occurrence) * j.Interval)
+	// In seconds, since the time until the last occurrence may exceed a time.Duration.
+	seconds, rest := int64(j.Interval/time.Second), int64(j.Interval%time.Second)
+	return time.Unix(j.Start.Unix()+int64(occurrence)*seconds, int64(j.Start.Nanosecond())+int64(occurrence)*rest)
 }
 
 // LongRunning reports whether any step of the job runs until the job is cancelled.
--- a/jobs/job/validate.go
+++ b/jobs/job/validate.go
@@ -12,6 +12,8 @@
 	MaxTasks          = 10_000
 	MaxOccurrences    = 10_000
 	maxResourceAmount = 1 << 40
+	// MaxEstimate is the longest estimate that is kept of a step. Estimates are added up along the steps of a job.
+	MaxEstimate = 30 * 24 * time.Hour
 )
 
 const idDigits = 16
--- a/jobs/relay/server.go
+++ b/jobs/relay/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"peridotcrank.dev/jobs/bounded"
 	"peridotcrank.dev/jobs/jobpb"
 )
 
@@ -144,7 +145,7 @@
 		return
 	}
 	account.MarkServed()
-	timeout := time.Duration(request.TimeoutMs) * time.Millisecond
+	timeout := bounded.Milliseconds(request.TimeoutMs)
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
--- a/jobs/scheduler/duration.go
+++ b/jobs/scheduler/duration.go
@@ -3,6 +3,9 @@
 import (
 	"math"
 	"time"
+
+	"peridotcrank.dev/jobs/bounded"
+	"peridotcrank.dev/jobs/job"
 )
 
 // DurationPredictor predicts how long tasks of a queue run, from their declared
@@ -25,6 +28,8 @@
 	defaultEstimate = time.Second
 	// minDuration is the lower bound of durations before their logarithm is taken.
 	minDuration = time.Millisecond
+	// maxPrediction bounds predictions, which are added up along the steps of a job.
+	maxPrediction = 2 * job.MaxEstimate
 )
 
 var decay = math.Exp2(-1.0 / halfLifeSamples)
@@ -65,5 +70,5 @@
 		slope = (d.sumXY/d.weight - meanX*meanY) / variance
 	}
 	slope = min(max(slope, 0), 1)
-	return time.Duration(math.Exp(meanY+slope*(logSeconds(estimate)-meanX)) * float64(time.Second))
+	return min(bounded.Float(math.Exp(meanY+slope*(logSeconds(estimate)-meanX)), time.Second), maxPrediction)
 }
--- a/jobs/shard/claim.go
+++ b/jobs/shard/claim.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/bounded"
 	"peridotcrank.dev/jobs/jobpb"
 	"peridotcrank.dev/jobs/rows"
 )
@@ -120,7 +121,7 @@
 		return
 	}
 	s.journal.head, s.journal.generation = version, head.Generation
-	s.inheritedLease = time.Duration(head.HoldMs) * time.Millisecond
+	s.inheritedLease = max(bounded.Milliseconds(head.HoldMs), 0)
 	s.restoreState(loaded)
 	s.active = true
 	s.recordLoaded(head.Generation)
--- a/jobs/shard/journal.go
+++ b/jobs/shard/journal.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"peridotcrank.dev/jobs/bounded"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/jobpb"
 	"peridotcrank.dev/jobs/rows"
@@ -390,11 +391,11 @@
 			continue
 		}
 		for run := range t.failedRuns {
-			record.Failures = append(record.Failures, &jobpb.Failure{Task: int32(t.index), Run: int32(run)})
+			record.Failures = append(record.Failures, &jobpb.Failure{Task: int32(t.index), Run: bounded.Int32(run)})
 		}
 	}
 	for run := range step.failedRuns {
-		record.Failures = append(record.Failures, &jobpb.Failure{Task: gangFailure, Run: int32(run)})
+		record.Failures = append(record.Failures, &jobpb.Failure{Task: gangFailure, Run: bounded.Int32(run)})
 	}
 	return record
 }
--- a/jobs/shard/kept_test.go
+++ b/jobs/shard/kept_test.go
@@ -270,3 +270,22 @@
 		runtime.KeepAlive(states)
 	}
 }
+
+// Guards against runs of a schedule of centuries that start at once, also after a takeover.
+func TestRunsOfLongScheduleAwaitTheirTime(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(2)
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		assert.Equal(t, r.submit(o, schedule(1, 4000, time.Now().Add(time.Hour), 30*24*time.Hour)).Code, OK)
+		time.Sleep(3 * time.Second)
+		o = r.replaceOwner(o)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, r.lookup(o, 1), Result{Code: OK, State: job.Queued})
+		for k := range 4000 {
+			assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testJobID(1), Occurrence: k}), 0, "occurrence %d", k)
+		}
+		time.Sleep(time.Hour)
+		assert.Equal(t, r.fleet.Starts(job.TaskRef{Job: testJobID(1)}), 1)
+	})
+}
--- a/jobs/shard/learnedwork.go
+++ b/jobs/shard/learnedwork.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotcrank.dev/jobs/bounded"
 	"peridotcrank.dev/jobs/durations"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/scheduler"
@@ -50,7 +51,7 @@
 		work.CoreSeconds += seconds * float64(spec.Resources.CPU) / milliPerCore
 		longestPath, work.CriticalPath = max(longestPath, fullPaths[i]), max(work.CriticalPath, remainingPaths[i])
 	}
-	work.Objective = time.Duration(float64(longestPath)*q.Stretch) + q.Objective
+	work.Objective = bounded.Float(float64(longestPath)*q.Stretch, 1) + q.Objective
 	renewal := time.Duration(renewalShare * float64(work.CriticalPath))
 	js.remainingWorkUntil = now + min(max(renewal, minRenewal), maxRenewal)
 	return work
--- a/jobs/shard/load.go
+++ b/jobs/shard/load.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/bounded"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/jobpb"
 	"peridotcrank.dev/jobs/rows"
@@ -144,7 +145,7 @@
 		}
 		js := newJobState(j, s.keptTasks)
 		js.stored, js.inherited = true, true
-		js.submitted = s.opts.Clock() - max(s.opts.WallClock().Sub(j.Accepted), 0)
+		js.submitted = s.opts.Clock() - max(bounded.Duration(s.opts.WallClock().Sub(j.Accepted)), 0)
 		if packed, ok := loaded.progress[j.ID]; ok {
 			if record, err := decodeProgress(packed); err == nil {
 				js.restoreProgress(record)
--- a/jobs/shard/queues.go
+++ b/jobs/shard/queues.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"peridotcrank.dev/jobs/bounded"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/jobpb"
 	"peridotcrank.dev/jobs/rows"
@@ -180,10 +181,10 @@
 func newStoredQueue(record *jobpb.Queue) storedQueue {
 	advice := record.GetAdvice()
 	q := storedQueue{config: Queue{
-		Attempts: int(record.Attempts), Priority: int(record.Priority), Stretch: record.Stretch, Objective: time.Duration(record.ObjectiveNs),
+		Attempts: int(record.Attempts), Priority: int(record.Priority), Stretch: record.Stretch, Objective: bounded.Duration(time.Duration(record.ObjectiveNs)),
 		Advice: worker.AdvicePolicy{
-			CallDuration: time.Duration(advice.GetCallNs()), DurationPerWorker: time.Duration(advice.GetPerWorkerNs()),
-			TicketValidity: time.Duration(advice.GetTicketValidityNs()),
+			CallDuration: bounded.Duration(time.Duration(advice.GetCallNs())), DurationPerWorker: bounded.Duration(time.Duration(advice.GetPerWorkerNs())),
+			TicketValidity: bounded.Duration(time.Duration(advice.GetTicketValidityNs())),
 		},
 	}}
 	for _, a := range record.Addresses {
--- a/jobs/shard/work.go
+++ b/jobs/shard/work.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotcrank.dev/jobs/bounded"
 	"peridotcrank.dev/jobs/job"
 	"peridotcrank.dev/jobs/scheduler"
 )
@@ -79,7 +80,7 @@
 		}
 		longestPath, work.CriticalPath = max(longestPath, fullPaths[i]), max(work.CriticalPath, remainingPaths[i])
 	}
-	work.Objective = time.Duration(float64(longestPath)*q.Stretch) + q.Objective
+	work.Objective = bounded.Float(float64(longestPath)*q.Stretch, 1) + q.Objective
 	return work
 }
 
