A pace is ordered again while an earlier order may still be carried out

Cause: an order on pace without an answer was forgotten once a newer one was answered; carried out 6 s later, it stayed in force, since a status lists no pace and nothing was sent any more.

Ruled out: measurements that do not show the harm (the ratio is 1.9), refused orders (none is sent).

Now the wanted pace is ordered every 0.7 s for the 15 s in which an order without an answer may be carried out, and once after that; a failed order, and a run that a next owner finds, have no known pace.

--- a/eventlog/codes.go
+++ b/eventlog/codes.go
@@ -91,6 +91,7 @@
 	WorkerJoined            Code = 4535
 	WorkerFaulty            Code = 4536
 	WorkerStalled           Code = 4537
+	PaceUnconfirmed         Code = 4538
 	RenewalFailed           Code = 4540
 	RenewalRestored         Code = 4541
 	StoreThroughPeer        Code = 4542
@@ -296,6 +297,7 @@
 	{WorkerJoined, "worker-joined", LevelInfo, "A worker answered for the first time; tasks can now be assigned to it."},
 	{WorkerFaulty, "worker-faulty", LevelWarning, "Runs of several jobs failed in a row on a worker; no tasks are assigned to it for a while."},
 	{WorkerStalled, "worker-stalled", LevelWarning, "The runs of a worker make no progress although it answers; they start on other workers, and no tasks are assigned to it for a while."},
+	{PaceUnconfirmed, "pace-unconfirmed", LevelWarning, "An order on the pace of a task got no answer or was refused; it may be carried out late, so the pace is ordered again."},
 	{RenewalFailed, "renewal-failed", LevelWarning, "The renewal of this process's row failed; its authority to act expires soon."},
 	{RenewalRestored, "renewal-restored", LevelInfo, "The renewal of this process's row succeeds again."},
 	{StoreThroughPeer, "store-through-peer", LevelWarning, "The table service does not serve this process; calls go through another process."},
--- a/jobs/shard/orders.go
+++ b/jobs/shard/orders.go
@@ -18,7 +18,7 @@
 // startTaskUntil is startTask with the expiry of the worker's lease.
 func (s *Shard) startTaskUntil(t *task, w *workerState, run int, leaseExpiry worker.ClockTime) *attempt {
 	now := s.opts.Clock()
-	a := &attempt{task: t, ref: t.ref(), run: run, worker: w, reserved: t.step.spec.ReservedResources(), sentAt: now, startedAt: now, pace: fullPace, timing: t.resumedTiming(), former: t.takeLostRun()}
+	a := &attempt{task: t, ref: t.ref(), run: run, worker: w, reserved: t.step.spec.ReservedResources(), sentAt: now, startedAt: now, pace: attemptPace{percent: fullPace, confirmed: true}, timing: t.resumedTiming(), former: t.takeLostRun()}
 	t.addAttempt(a)
 	w.attempts[a.key()] = a
 	w.used = w.used.Plus(a.reserved)
--- a/jobs/shard/pace.go
+++ b/jobs/shard/pace.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotcrank.dev/eventlog"
+	"peridotcrank.dev/jobs/worker"
 )
 
 const (
@@ -16,8 +17,11 @@
 	// targets.
 	paceRaise         = 10
 	paceRaiseInterval = 1500 * time.Millisecond
-	minPace           = 15  // A lower pace becomes 0.
-	targetMargin      = 0.8 // Share of its target below which a serving task has a safety margin.
+	// paceRepeatInterval is the time between two orders for the same pace while an earlier order may still be
+	// carried out.
+	paceRepeatInterval = 700 * time.Millisecond
+	minPace            = 15  // A lower pace becomes 0.
+	targetMargin       = 0.8 // Share of its target below which a serving task has a safety margin.
 	// colocatedHoldWait is how long a worker with both serving and best-effort tasks may
 	// delay its reply to a hold, which reports their measurements.
 	colocatedHoldWait = 400 * time.Millisecond
@@ -79,24 +83,59 @@
 		w.pace, w.paceChangedAt = pace, now
 	}
 	for _, a := range c.bestEffort {
-		if a.pace != w.pace && !a.paceInFlight {
+		if a.pace.isDue(w.pace, now) {
 			s.sendPace(a, w.pace)
 		}
 	}
 }
 
+// attemptPace is what is known of the pace of a run.
+type attemptPace struct {
+	// percent is the pace that the worker has confirmed last, if confirmed is set. A run that this owner has not
+	// started may have any pace.
+	percent   int
+	confirmed bool
+	inFlight  bool
+	// repeatedAt is when the last confirmed order was sent. lateUntil is when the last order without a reply is
+	// carried out at the latest, also after newer ones; 0 for none.
+	repeatedAt, lateUntil time.Duration
+}
+
+// isDue reports whether an order for a pace is to be sent now. As long as an earlier order may still be carried
+// out, the pace is ordered again and again, and once after that.
+func (p *attemptPace) isDue(percent int, now time.Duration) bool {
+	switch {
+	case p.inFlight:
+		return false
+	case !p.confirmed || p.percent != percent:
+		return true
+	}
+	return p.repeatedAt <= p.lateUntil && now-p.repeatedAt >= paceRepeatInterval
+}
+
+// noteReply applies the outcome of an order that was sent at a time.
+func (p *attemptPace) noteReply(percent int, sent time.Duration, err error) {
+	p.inFlight = false
+	switch {
+	case err == nil:
+		p.percent, p.confirmed, p.repeatedAt = percent, true, sent
+	case !worker.Refused(err):
+		p.confirmed, p.lateUntil = false, sent+maxOrderDelay
+	}
+}
+
 func (s *Shard) sendPace(a *attempt, percent int) {
-	a.paceInFlight = true
-	to, fence := a.worker.target(), a.worker.fence
+	a.pace.inFlight = true
+	to, fence, sent := a.worker.target(), a.worker.fence, s.opts.Clock()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 		defer cancel()
 		err := s.opts.Workers.Pace(ctx, to, a.ref, a.run, percent, fence)
 		s.opts.Loop.Post(func() {
-			a.paceInFlight = false
-			if err == nil {
-				a.pace = percent // Without a reply the next check sends it again.
+			if err != nil {
+				s.recordEvent(eventlog.PaceUnconfirmed, eventlog.Fields{"task": a.ref.String(), "run": a.run, "worker": a.worker.info.ID, "percent": percent, "error": err})
 			}
+			a.pace.noteReply(percent, sent, err)
 		})
 	}()
 }
--- a/jobs/shard/state.go
+++ b/jobs/shard/state.go
@@ -192,8 +192,7 @@
 	stopInFlight bool
 	percent      int
 	measure      float64 // Last reported [worker.RunningTask.Measure].
-	pace         int     // Pace last confirmed by the worker, in percent.
-	paceInFlight bool
+	pace         attemptPace
 	timing       runTiming
 	found        bool // Not started by this owner.
 	// movedFrom is the incarnation to which the start was sent, if the worker has restarted
--- a/jobs/worker/workertest/fleet.go
+++ b/jobs/worker/workertest/fleet.go
@@ -43,6 +43,9 @@
 	// terminated by then. It does not matter whether the owner has handled the status.
 	NoteListedEnds bool
 
+	// Latency returns what a run of a task reports about itself, by the paces of all runs on its worker; nil for 0.
+	Latency func(task job.TaskRef, paces map[job.TaskRef]int) float64
+
 	// closed is done when Close was called.
 	closed context.Context
 	close  context.CancelFunc
--- a/jobs/worker/workertest/orders.go
+++ b/jobs/worker/workertest/orders.go
@@ -377,11 +377,35 @@
 
 func (f *Fleet) listRunning(w *simulatedWorker) (listed []worker.RunningTask) {
 	for _, r := range w.runs {
-		listed = append(listed, worker.RunningTask{Task: r.task, Run: r.number, Percent: f.percent(r)})
+		listed = append(listed, worker.RunningTask{Task: r.task, Run: r.number, Percent: f.percent(r), Measure: f.measure(w, r)})
 	}
 	return listed
 }
 
+// measure returns what a run reports about itself.
+func (f *Fleet) measure(w *simulatedWorker, r *run) float64 {
+	if f.Latency == nil {
+		return 0
+	}
+	return f.Latency(r.task, w.paces())
+}
+
+// paces returns the paces of the runs on a worker.
+func (w *simulatedWorker) paces() map[job.TaskRef]int {
+	paces := map[job.TaskRef]int{}
+	for _, r := range w.runs {
+		paces[r.task] = r.pace
+	}
+	return paces
+}
+
+// Paces returns the paces of the runs on a worker.
+func (f *Fleet) Paces(id worker.ID) map[job.TaskRef]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id].paces()
+}
+
 // pauseBetweenLists passes some time between the two lists of a status.
 func (f *Fleet) pauseBetweenLists() {
 	d := time.Duration(f.random().Int64N(int64(maxListsGap)))
@@ -390,5 +414,19 @@
 	f.mu.Lock()
 }
 
-// Pace implements [worker.Client]. Simulated runs ignore it.
-func (f *Fleet) Pace(context.Context, worker.Target, job.TaskRef, int, int, uint64) error { return nil }
+// Pace implements [worker.Client]. Simulated runs only report their pace to Latency.
+func (f *Fleet) Pace(ctx context.Context, to worker.Target, task job.TaskRef, number, percent int, fence uint64) error {
+	_, err := f.deliver(ctx, to, "pace", func(w *simulatedWorker) error {
+		if fence < w.fence {
+			return worker.ErrFenced
+		}
+		w.fence = fence
+		r := w.runs[runKey{task, number}]
+		if r == nil {
+			return worker.ErrStaleRun
+		}
+		r.pace = percent
+		return nil
+	})
+	return err
+}
--- a/jobs/worker/workertest/runs.go
+++ b/jobs/worker/workertest/runs.go
@@ -39,8 +39,12 @@
 	startedAt time.Duration
 	timer     *time.Timer
 	ended     chan struct{} // Closed when the end is listed.
+	pace      int           // In percent.
 }
 
+// fullPace is the pace with which a run begins, in percent.
+const fullPace = 100
+
 // runKey identifies a run.
 type runKey struct {
 	task   job.TaskRef
@@ -139,7 +143,7 @@
 	}
 	f.starts[order.Task]++
 	f.checkStartAllowed(w, order)
-	r := &run{task: order.Task, number: order.Run, startedAt: f.now(), ended: make(chan struct{})}
+	r := &run{task: order.Task, number: order.Run, startedAt: f.now(), ended: make(chan struct{}), pace: fullPace}
 	f.checkCapacity(w, r, order.Fence)
 	w.runs[key] = r
 	f.noteStart(r)
