--- a/settings/jobs/template_test.go
+++ b/settings/jobs/template_test.go
@@ -38,7 +38,7 @@
 }
 
 // Guards against a template that renders to invalid settings, with or without the optional
-// parts.
+// parts, or that needs the limits of a deployment which has none.
 func TestTemplateGivesValidSettings(t *testing.T) {
 	values := map[string]string{
 		"node|json": `"front-1"`, "zone|json": `"a"`, "limits.cpu-share": "0.4", "listen.front|json": `"10.0.0.1:1"`,
@@ -51,6 +51,10 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Keys.Revoke, time.Duration(0))
 	assert.DeepEqual(t, s.Limits, Limits{Memory: 184 << 20, Descriptors: 8192, HeaderBytes: defaultHeaderBytes, Connections: 4096})
+	values["limits.memory-mb"], values["limits.max-fds"] = "", ""
+	s, err = Parse("jobs.yaml", renderTemplate(t, values))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Limits, Limits{Memory: defaultMemory, Descriptors: defaultDescriptors, HeaderBytes: defaultHeaderBytes, Connections: defaultDescriptors / 2})
 	values["bounds.strict-revoke"], values["bounds.revoke-ms"] = "true", "5000"
 	values["cloud-api.address"], values["advice"] = `"10.0.0.3:6"`, `"10.0.0.3:7"`
 	s, err = Parse("jobs.yaml", renderTemplate(t, values))
