Overdue occurrences leave half of the memory for the tasks that run

Found by reading the change before: occurrences that are due and not complete could take the whole memory for the states of tasks, and then each pool of the process ran one task at a time; a task without memory kept those behind it from starting, which have it already. Now occurrences are opened up to half, a pool has 64 runs in any case, and tasks without memory are passed over.

--- a/jobs/memory/budget.go
+++ b/jobs/memory/budget.go
@@ -37,6 +37,13 @@
 	return b.used+n <= b.limit
 }
 
+// FitsHalf reports whether n bytes can be taken so that half of the budget is left.
+func (b *Budget) FitsHalf(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used+n <= b.limit/2
+}
+
 // Used returns the number of bytes that are taken, and the limit.
 func (b *Budget) Used() (used, limit int64) {
 	b.mu.Lock()
@@ -77,6 +84,9 @@
 // Fits reports whether n bytes can be taken.
 func (s *Share) Fits(n int64) bool { return s.budget == nil || s.budget.Fits(n) }
 
+// FitsHalf reports whether n bytes can be taken so that half of the budget is left.
+func (s *Share) FitsHalf(n int64) bool { return s.budget == nil || s.budget.FitsHalf(n) }
+
 // Used returns the number of bytes that the share has taken.
 func (s *Share) Used() int64 { return s.used }
 
--- a/jobs/shard/kept.go
+++ b/jobs/shard/kept.go
@@ -19,6 +19,9 @@
 	endedJobBytes = 400
 )
 
+// minRuns is the number of runs that a shard may have without memory for their tasks.
+const minRuns = 64
+
 // memoryRetryAfter is how long a caller should wait whose job does not fit in memory.
 const memoryRetryAfter = 5 * time.Second
 
@@ -78,18 +81,27 @@
 	s.keptJobs.Add(-endedJobBytes)
 }
 
-// hasMemoryFor reports whether a task may get a run. A task that has had one is kept already, and without any run in the
-// shard one may begin, so that the accepted jobs go on.
+// hasMemoryFor reports whether a task, or a gang of which it is a member, may get a run. A task that has had one is kept
+// already, and each shard may have minRuns, so that the accepted jobs go on.
 func (s *Shard) hasMemoryFor(t *task) bool {
-	if t.isKept() || s.keptTasks.Fits(taskBytes) {
-		return true
+	tasks := int64(1)
+	if t.step.spec.Gang {
+		tasks = int64(t.step.spec.Count)
 	}
+	return t.isKept() || s.keptTasks.Fits(tasks*taskBytes) || s.countRuns() < minRuns
+}
+
+func (s *Shard) countRuns() (n int) {
 	for _, w := range s.workers {
-		if len(w.attempts) > 0 {
-			return false
-		}
+		n += len(w.attempts)
 	}
-	return true
+	return n
+}
+
+// hasMemoryForOccurrence reports whether a further occurrence of a job may be opened. Half of the memory is left to
+// the tasks of those that are open.
+func (s *Shard) hasMemoryForOccurrence(js *jobState) bool {
+	return s.keptTasks.FitsHalf(js.occurrenceBytes())
 }
 
 func (t *task) isKept() bool { return t.step.tasks != nil && t.step.tasks[t.index] == t }
--- a/jobs/shard/kept_test.go
+++ b/jobs/shard/kept_test.go
@@ -186,6 +186,46 @@
 	})
 }
 
+// Guards against overdue occurrences that take the memory for the tasks of other jobs.
+func TestOverdueOccurrencesLeaveMemoryForTasks(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkers(4)
+		const limit = 1000 * taskBytes
+		r.taskMemory = memory.NewBudget(limit)
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		for n := range 3 {
+			assert.Equal(t, r.submit(o, schedule(n, dayOfOccurrences, time.Now().Add(-48*time.Hour), time.Second)).Code, OK)
+		}
+		r.taskMemory = memory.NewBudget(limit)
+		for range 2 {
+			time.Sleep(3 * time.Second)
+			used, _ := o.opts.TaskMemory.Used()
+			assert.Assert(t, used < limit/2+100*taskBytes, "%d of %d bytes", used, limit)
+			o = r.replaceOwner(o)
+		}
+	})
+}
+
+// Guards against tasks that have had a run and wait behind others for which there is no memory.
+func TestKeptTasksStartWithoutMemory(t *testing.T) {
+	onFakeTime(t, func(r *rig) {
+		r.addWorkersTo(testPool, 100)
+		r.taskMemory = memory.NewBudget(200 * taskBytes)
+		o := r.startOwner()
+		time.Sleep(time.Second)
+		assert.Equal(t, r.submit(o, simpleJob(1, 1000)).Code, OK)
+		time.Sleep(500 * time.Millisecond)
+		o.callOnLoop(func() {
+			assert.Equal(t, o.countRuns(), 200)
+			step := o.jobs[testJobID(1)].steps[0]
+			assert.Assert(t, !o.hasMemoryFor(step.peek(500)))
+			assert.Assert(t, o.hasMemoryFor(step.peek(0)))
+		})
+		r.awaitState(o, 1, job.Completed, 60*time.Second)
+	})
+}
+
 // Guards against occurrences that run again after they were done, or never, after a takeover between two of them.
 func TestOccurrencesRunOverTakeovers(t *testing.T) {
 	onFakeTime(t, func(r *rig) {
--- a/jobs/shard/occurrences.go
+++ b/jobs/shard/occurrences.go
@@ -101,7 +101,7 @@
 func (s *Shard) openDueOccurrences(js *jobState) bool {
 	now := s.opts.WallClock()
 	for !js.isFullyOpened() && !js.steps[len(js.steps)-1].due.After(now) {
-		if js.hasOpenSteps() && !s.keptTasks.Fits(js.occurrenceBytes()) {
+		if js.hasOpenSteps() && !s.hasMemoryForOccurrence(js) {
 			return false
 		}
 		js.openOccurrence()
--- a/jobs/shard/place.go
+++ b/jobs/shard/place.go
@@ -178,10 +178,10 @@
 	}
 	step.held = false
 	for t := range step.waiting() {
-		if t.notBefore > p.now {
+		if t.notBefore > p.now || !p.shard.hasMemoryFor(t) {
 			continue
 		}
-		if p.shard.starts.full() || !p.permitsStart(step) || !p.shard.hasMemoryFor(t) {
+		if p.shard.starts.full() || !p.permitsStart(step) {
 			break
 		}
 		i := p.chooseNode(t)
